--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -23,9 +23,9 @@
 from egrethook.emulator.load import Load, LoadGenerator
 from egrethook.emulator.upstream import REPORT_S
 from egrethook.emulator.virtual import VirtualFleet, run_virtual
-from egrethook.platform.configuration import ConfigurationStore, DocumentKey
-from egrethook.platform.documents import render, validate
-from egrethook.platform.reader import WATCH_S
+from egrethook.published.configuration import ConfigurationStore, DocumentKey
+from egrethook.published.documents import render, validate
+from egrethook.published.reader import WATCH_S
 from egrethook.types import ExecutorId
 from egrethook.upstreams import frames
 from egrethook.upstreams.messages import encode_frame
--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -22,13 +22,13 @@
 from egrethook.emulator.layouts import LAYOUTS, EmulatedFleet
 from egrethook.emulator.load import Load, LoadGenerator
 from egrethook.emulator.virtual import VirtualFleet, run_virtual
-from egrethook.platform.configuration import (
+from egrethook.published.configuration import (
     Configuration,
     ConfigurationStore,
     DocumentKey,
     Endpoint,
 )
-from egrethook.platform.documents import render, validate
+from egrethook.published.documents import render, validate
 from egrethook.types import Address, UpstreamState
 
 LAYOUT = LAYOUTS["cantabrico"]
--- a/egrethook/__init__.py
+++ b/egrethook/__init__.py
@@ -2,9 +2,22 @@
 
 from __future__ import annotations
 
-from egrethook.callers.client import Caller
-from egrethook.exceptions import EgrethookError
-from egrethook.verdicts import Verdict
+from importlib import import_module
+from typing import Any
+
 from egrethook.version import __version__
 
-__all__ = ["Caller", "EgrethookError", "Verdict", "__version__"]
+_EXPORTS = {
+    "Caller": "egrethook.callers.client",
+    "EgrethookError": "egrethook.exceptions",
+    "Verdict": "egrethook.verdicts",
+}
+"""Names that are loaded when they are first used, so that a process starts fast."""
+
+__all__ = ["__version__", *_EXPORTS]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _EXPORTS:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(_EXPORTS[name]), name)
--- a/egrethook/balancer.py
+++ b/egrethook/balancer.py
@@ -29,8 +29,8 @@
 from egrethook.logs import PartLog
 from egrethook.metrics import Metrics
 from egrethook.network import Network, SystemNetwork
-from egrethook.platform.configuration import ConfigurationStore, Vm
-from egrethook.platform.reader import PlatformReader
+from egrethook.published.configuration import ConfigurationStore, Vm
+from egrethook.published.reader import PlatformReader
 from egrethook.settings import BalancerSettings
 from egrethook.tracing import Tracer
 from egrethook.types import Address, ExecutorId, VmState, new_incarnation
--- /dev/null
+++ b/egrethook/balancers/gossip.py
@@ -0,0 +1,175 @@
+"""Spreads the registry's changes between balancers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Sequence
+
+import anyio
+
+from egrethook.balancers.gossip_codec import Delta, Digest, decode, encode
+from egrethook.balancers.gossip_members import GossipMembers
+from egrethook.clock import Clock
+from egrethook.datagrams import DatagramSocket
+from egrethook.discovery.records import Changes, PublishedItem
+from egrethook.discovery.replica import Replica
+from egrethook.exceptions import BadMessageError
+from egrethook.logs import PartLog
+from egrethook.types import Address
+
+BEAT_S = 0.3
+"""Time between two digests to the same partner, in seconds."""
+
+DELTA_BYTES = 24_000
+"""Most bytes of items in one delta."""
+
+PULL_INTERVAL_S = 0.05
+"""Time between two digests that ask for changes, in seconds."""
+
+_LOG = PartLog("gossip")
+
+
+class Gossip:
+    """Sends digests, answers them with deltas, and passes changes on.
+
+    Parameters
+    ----------
+    socket : DatagramSocket
+        The socket for other balancers.
+    members : GossipMembers
+        Whom to talk to.
+    replica : Replica
+        What is spread.
+    clock : Clock
+        Tells the time.
+    rng : random.Random
+        Spreads the beats.
+    awake : callable
+        Called before messages are handled, to notice a pause of the process.
+    """
+
+    def __init__(
+        self,
+        socket: DatagramSocket,
+        members: GossipMembers,
+        replica: Replica,
+        clock: Clock,
+        rng: random.Random,
+        awake: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._socket = socket
+        self._members = members
+        self._replica = replica
+        self._clock = clock
+        self._rng = rng
+        self._awake = awake
+        self._leaving = False
+        self._asked_at = float("-inf")
+        self._bytes_sent = 0
+        self._refused = 0
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent to other balancers."""
+        return self._bytes_sent
+
+    @property
+    def refused(self) -> int:
+        """Datagrams that were no messages."""
+        return self._refused
+
+    def leave(self) -> None:
+        """Tell the others from now on that this balancer is leaving."""
+        self._leaving = True
+
+    async def beat(self) -> None:
+        """Send digests until cancelled."""
+        while True:
+            now = self._clock.now()
+            self._members.beat(self._leaving)
+            self._members.forget(now)
+            for partner in self._members.partners(now):
+                self._send(partner, self._digest(now))
+            await anyio.sleep(BEAT_S * self._rng.uniform(0.8, 1.2))
+
+    async def receive(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            batch = await self._socket.receive()
+            await self._awake()
+            for datagram, source in batch:
+                self._handle(datagram, Address(*source))
+
+    def pass_on(self, items: Sequence[PublishedItem], before: int) -> None:
+        """Tell others of changes that have just been merged."""
+        now = self._clock.now()
+        if not items or not before:
+            return
+        changes = Changes(before, self._replica.revision, items)
+        size = sum(len(item.value or b"") for item in items)
+        if size > DELTA_BYTES:
+            # Partners ask for what does not fit.
+            for partner in self._members.audience(now):
+                self._send(partner, self._digest(now))
+            return
+        delta = Delta(changes, self._replica.age(now))
+        for partner in self._members.audience(now):
+            self._send(partner, delta)
+
+    def _handle(self, datagram: bytes, source: Address) -> None:
+        try:
+            message = decode(datagram)
+        except BadMessageError as error:
+            self._refused += 1
+            _LOG.warning("a datagram was refused.", source=str(source), error=error)
+            return
+        if isinstance(message, Digest):
+            self._on_digest(message)
+        else:
+            self._on_delta(message, source)
+
+    def _on_digest(self, digest: Digest) -> None:
+        now = self._clock.now()
+        self._members.merge((digest.sender, *digest.members), now)
+        held = self._replica.revision
+        partner = digest.sender.address
+        if digest.revision < held:
+            self._send_missing(partner, digest.revision, now)
+        elif digest.revision > held:
+            self._ask(partner, now)
+        else:
+            self._replica.confirm(held, now - digest.age_s)
+
+    def _on_delta(self, delta: Delta, source: Address) -> None:
+        now = self._clock.now()
+        self._replica.take_changes(delta.changes, now - delta.age_s)
+        if self._replica.revision < delta.changes.revision:
+            self._ask(source, now)
+
+    def _send_missing(self, partner: Address, after: int, now: float) -> None:
+        changes = self._replica.catalog.since(after, DELTA_BYTES)
+        if changes is None:
+            return
+        current = changes.revision == self._replica.revision
+        age_s = self._replica.age(now) if current else float("inf")
+        self._send(partner, Delta(changes, age_s))
+
+    def _ask(self, partner: Address, now: float) -> None:
+        """Show a better informed member what is held here, so that it sends the rest."""
+        if now - self._asked_at < PULL_INTERVAL_S:
+            return
+        self._asked_at = now
+        self._send(partner, self._digest(now))
+
+    def _digest(self, now: float) -> Digest:
+        return Digest(
+            self._members.own,
+            self._replica.revision,
+            self._replica.age(now),
+            self._members.sample(now),
+        )
+
+    def _send(self, partner: Address, message: Digest | Delta) -> None:
+        datagram = encode(message)
+        self._bytes_sent += len(datagram)
+        self._socket.send(partner, datagram)
--- /dev/null
+++ b/egrethook/balancers/gossip_codec.py
@@ -0,0 +1,186 @@
+"""Messages by which balancers gossip, and their thrift encoding."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.TSerialization import deserialize, serialize
+
+from egrethook.discovery.records import Changes, ItemKind, PublishedItem
+from egrethook.exceptions import BadMessageError
+from egrethook.types import Address
+from egrethook.wire.gossip import ttypes
+
+DATAGRAM_LIMIT = 60_000
+"""Longest message that is decoded, in bytes."""
+
+NAME_LIMIT = 200
+"""Longest name in a message, in characters."""
+
+_FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=DATAGRAM_LIMIT, container_length_limit=4096
+)
+
+_ERRORS = (TException, EOFError, ValueError, TypeError, OverflowError, MemoryError)
+
+
+@dataclass(frozen=True, slots=True)
+class MemberInfo:
+    """What balancers tell each other of a member.
+
+    Parameters
+    ----------
+    address : Address
+        Where it takes gossip.
+    incarnation : int
+        Drawn at its start.
+    beat : int
+        Grows with each digest that it sends.
+    """
+
+    address: Address
+    failure_domain: str
+    incarnation: int
+    beat: int
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Digest:
+    """What a balancer holds, how old that is, and whom it knows."""
+
+    sender: MemberInfo
+    revision: int
+    age_s: float
+    members: tuple[MemberInfo, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """Changes that were current so many seconds ago."""
+
+    changes: Changes
+    age_s: float
+
+
+GossipMessage = Digest | Delta
+
+
+def encode(message: GossipMessage) -> bytes:
+    """Return a message as a datagram."""
+    if isinstance(message, Digest):
+        body = ttypes.GossipMessage(digest=_pack_digest(message))
+    else:
+        body = ttypes.GossipMessage(delta=_pack_delta(message))
+    return serialize(body, _FACTORY)
+
+
+def decode(datagram: bytes) -> GossipMessage:
+    """Return the message of a datagram.
+
+    Raises
+    ------
+    BadMessageError
+        If the bytes are no message or a field is out of bounds.
+    """
+    try:
+        body = deserialize(ttypes.GossipMessage(), datagram, _FACTORY)
+        if body.digest is not None:
+            return _unpack_digest(body.digest)
+        if body.delta is not None:
+            return _unpack_delta(body.delta)
+    except _ERRORS as error:
+        raise BadMessageError(str(error)[:200] or type(error).__name__) from None
+    raise BadMessageError("a message without a body")
+
+
+def _pack_member(member: MemberInfo) -> ttypes.MemberInfo:
+    return ttypes.MemberInfo(
+        host=member.address.host,
+        port=member.address.port,
+        failure_domain=member.failure_domain,
+        incarnation=member.incarnation,
+        beat=member.beat,
+        leaving=member.leaving,
+    )
+
+
+def _unpack_member(packed: ttypes.MemberInfo) -> MemberInfo:
+    ipaddress.ip_address(packed.host)
+    if not 0 < packed.port < 65536 or packed.beat < 0:
+        raise ValueError("a member's port or beat is out of bounds")
+    return MemberInfo(
+        Address(packed.host, packed.port),
+        _name(packed.failure_domain),
+        packed.incarnation,
+        packed.beat,
+        bool(packed.leaving),
+    )
+
+
+def _pack_digest(digest: Digest) -> ttypes.Digest:
+    return ttypes.Digest(
+        sender=_pack_member(digest.sender),
+        revision=digest.revision,
+        age_ms=_milliseconds(digest.age_s),
+        members=[_pack_member(member) for member in digest.members],
+    )
+
+
+def _unpack_digest(packed: ttypes.Digest) -> Digest:
+    return Digest(
+        _unpack_member(packed.sender),
+        _revision(packed.revision),
+        _seconds(packed.age_ms),
+        tuple(_unpack_member(member) for member in packed.members),
+    )
+
+
+def _pack_delta(delta: Delta) -> ttypes.Delta:
+    changes = delta.changes
+    return ttypes.Delta(
+        after=changes.after,
+        revision=changes.revision,
+        age_ms=_milliseconds(delta.age_s),
+        items=[
+            ttypes.Item(int(item.kind), item.name, item.revision, item.value)
+            for item in changes.items
+        ],
+    )
+
+
+def _unpack_delta(packed: ttypes.Delta) -> Delta:
+    items = [
+        PublishedItem(
+            ItemKind(item.kind), _name(item.name), _revision(item.revision), item.value
+        )
+        for item in packed.items
+    ]
+    changes = Changes(_revision(packed.after), _revision(packed.revision), items)
+    return Delta(changes, _seconds(packed.age_ms))
+
+
+_UNKNOWN_MS = -1
+
+
+def _milliseconds(age_s: float) -> int:
+    return int(age_s * 1000) if 0 <= age_s < 3600 else _UNKNOWN_MS
+
+
+def _seconds(age_ms: int) -> float:
+    return age_ms / 1000 if age_ms >= 0 else float("inf")
+
+
+def _revision(number: int) -> int:
+    if number < 0:
+        raise ValueError("a revision is negative")
+    return number
+
+
+def _name(text: str) -> str:
+    if len(text) > NAME_LIMIT:
+        raise ValueError("a name is too long")
+    return text
--- a/egrethook/balancers/handover.py
+++ b/egrethook/balancers/handover.py
@@ -10,7 +10,7 @@
 from egrethook.balancers.ownership import rank
 from egrethook.balancers.peer_packets import HandOver, HandOverAck, WindowState
 from egrethook.exceptions import HandOverError
-from egrethook.platform.configuration import Vm
+from egrethook.published.configuration import Vm
 from egrethook.types import ExecutorId, new_incarnation
 
 PART_NUMBERS = 400
--- a/egrethook/balancers/membership.py
+++ b/egrethook/balancers/membership.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from egrethook.balancers.peer_packets import Heartbeat, MemberState, Suspicion
-from egrethook.platform.configuration import Vm
+from egrethook.published.configuration import Vm
 from egrethook.types import ExecutorId, VmState
 
 HEARTBEAT_INTERVAL_S = 0.5
--- a/egrethook/balancers/ownership.py
+++ b/egrethook/balancers/ownership.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from egrethook.platform.configuration import Configuration, Endpoint, Vm
+from egrethook.published.configuration import Configuration, Endpoint, Vm
 
 RANKS = 3
 """How many ranks of owners are remembered for each upstream."""
--- a/egrethook/balancers/placement.py
+++ b/egrethook/balancers/placement.py
@@ -19,7 +19,7 @@
     Run,
 )
 from egrethook.clock import Clock
-from egrethook.platform.configuration import Configuration, Endpoint
+from egrethook.published.configuration import Configuration, Endpoint
 from egrethook.types import Address
 from egrethook.upstreams.choice import Chooser, compare_flow_owners, next_step
 from egrethook.upstreams.executor import Executor
--- a/egrethook/callers/affinity.py
+++ b/egrethook/callers/affinity.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from egrethook.balancers.ownership import rank
-from egrethook.platform.configuration import Configuration, Endpoint
+from egrethook.published.configuration import Configuration, Endpoint
 from egrethook.types import Address
 
 TABLE_LIMIT = 100_000
--- /dev/null
+++ b/egrethook/callers/flow_dispatch.py
@@ -0,0 +1,386 @@
+"""Decides what becomes of each packet of a caller's flow."""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+
+from egrethook.callers.segments import PacketPort, Segment, SegmentCodec
+from egrethook.discovery.records import Route
+from egrethook.discovery.view import ForwardingView, pick_service
+from egrethook.logs import PartLog
+from egrethook.upstreams.health import PassiveHealth
+from egrethook.upstreams.selection import UpstreamSelector
+from egrethook.upstreams.upstream import Upstream
+
+RESEND_S = 0.045
+"""Time without an answer after which an opening goes to a second upstream, in seconds.
+
+Well above a round trip between failure domains, well below a caller's first copy.
+"""
+
+RESENDS = 3
+"""Most upstreams that one opening is sent to."""
+
+OPENING_LIFE_S = 1.4
+"""Time after which a caller gives up an opening, in seconds."""
+
+QUEUE_WAIT_S = 0.9
+"""Longest wait for room that is worth while, in seconds."""
+
+QUEUE_FLOOR = 8
+"""Openings that may always wait, before the rate of a service is known."""
+
+IDLE_S = 3.0
+"""Time without packets after which a flow is no longer counted, in seconds."""
+
+RATE_WINDOW_S = 1.0
+"""Window over which a service's finished flows are counted, in seconds."""
+
+_LOG = PartLog("flows")
+
+
+class FlowState(enum.Enum):
+    """How far the opening of a flow has come."""
+
+    WAITING = "waiting"
+    SENT = "sent"
+    OPEN = "open"
+
+
+@dataclass(slots=True)
+class Flow:
+    """One flow whose opening passed through this balancer."""
+
+    segment: Segment
+    datagram: bytes
+    route: Route
+    service: str
+    since: float
+    state: FlowState = FlowState.WAITING
+    sent_at: float = 0.0
+    seen_at: float = 0.0
+    tried: list[Upstream] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the dispatcher has done, for the metrics."""
+
+    packets: int = 0
+    openings: int = 0
+    answered: int = 0
+    resent: int = 0
+    waited: int = 0
+    reset: dict[str, int] = field(default_factory=dict)
+    dropped: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _ServiceQueue:
+    """Openings of one service that wait for room, the most urgent first."""
+
+    heap: list[tuple[int, float, bytes]] = field(default_factory=list)
+    finished: int = 0
+    window_start: float = 0.0
+    rate_per_s: float = 0.0
+
+    def note_finished(self, now: float) -> None:
+        """Count a flow that has ended."""
+        self.finished += 1
+        elapsed = now - self.window_start
+        if elapsed >= RATE_WINDOW_S:
+            self.rate_per_s = self.finished / elapsed
+            self.finished = 0
+            self.window_start = now
+
+    @property
+    def capacity(self) -> float:
+        """How many may wait so that each is served while it is worth while."""
+        return max(QUEUE_FLOOR, self.rate_per_s * QUEUE_WAIT_S)
+
+
+class FlowDispatcher:
+    """Places openings and sends the packets of open flows on.
+
+    An opening goes to the upstream that the selector prefers. Without an answer
+    within `RESEND_S` it goes to another one as well: the flow opens at the one
+    upstream that the caller acknowledges. When no upstream has room it waits,
+    and is refused at once when too many wait already.
+
+    Parameters
+    ----------
+    view : ForwardingView
+        Routes and upstreams.
+    codec : SegmentCodec
+        Reads and writes headers.
+    port : PacketPort
+        Sends packets.
+    selector : UpstreamSelector
+        Chooses upstreams.
+    health : PassiveHealth
+        Judges upstreams by what their flows show.
+    """
+
+    def __init__(
+        self,
+        view: ForwardingView,
+        codec: SegmentCodec,
+        port: PacketPort,
+        selector: UpstreamSelector,
+        health: PassiveHealth,
+    ) -> None:
+        self._view = view
+        self._codec = codec
+        self._port = port
+        self._selector = selector
+        self._health = health
+        self._flows: dict[bytes, Flow] = {}
+        self._unanswered: OrderedDict[bytes, float] = OrderedDict()
+        self._queues: dict[str, _ServiceQueue] = {}
+        self._counts = Counts()
+        self._swept_at = 0.0
+        self._trusted = True
+
+    @property
+    def counts(self) -> Counts:
+        """What has been done so far."""
+        return self._counts
+
+    @property
+    def open_flows(self) -> int:
+        """Flows that are counted at present."""
+        return len(self._flows)
+
+    @property
+    def waiting(self) -> int:
+        """Openings that wait for room."""
+        return sum(len(queue.heap) for queue in self._queues.values())
+
+    @property
+    def trusts_view(self) -> bool:
+        """Whether the view is good enough to refuse unknown routes."""
+        return self._trusted
+
+    @trusts_view.setter
+    def trusts_view(self, trusted: bool) -> None:
+        self._trusted = trusted
+
+    def handle(self, datagram: bytes, now: float) -> None:
+        """Take one packet from a caller."""
+        segment = self._codec.decode(datagram)
+        if segment is None:
+            self._drop("malformed")
+            return
+        self._counts.packets += 1
+        if segment.opens:
+            self._handle_opening(segment, datagram, now)
+        else:
+            self._handle_later(segment, datagram, now)
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        unanswered = self._unanswered
+        while unanswered:
+            flow_key, due = next(iter(unanswered.items()))
+            if due > now:
+                break
+            del unanswered[flow_key]
+            self._resend(flow_key, now)
+        for service, queue in self._queues.items():
+            if queue.heap:
+                self._serve_queue(service, queue, now)
+        if now - self._swept_at > 0.5:
+            self._swept_at = now
+            self._sweep(now)
+
+    def next_due(self) -> float | None:
+        """Return when `tick` has something to do, or None."""
+        if self._unanswered:
+            return next(iter(self._unanswered.values()))
+        return None
+
+    # Openings ------------------------------------------------------------------
+
+    def _handle_opening(self, segment: Segment, datagram: bytes, now: float) -> None:
+        flow = self._flows.get(segment.flow)
+        if flow is not None:
+            self._handle_copy(flow, segment, datagram, now)
+            return
+        self._counts.openings += 1
+        route = self._view.route(segment.target)
+        if route is None:
+            self._refuse_unknown_route(segment)
+            return
+        service = pick_service(route, segment.flow)
+        flow = Flow(segment, datagram, route, service, now)
+        if self._send_opening(flow, now):
+            self._flows[segment.flow] = flow
+            return
+        self._enqueue(flow, now)
+
+    def _refuse_unknown_route(self, segment: Segment) -> None:
+        if self._trusted:
+            self._reset(segment, "no route", revision=self._version())
+        else:
+            self._drop("no route, view not fresh")
+
+    def _handle_copy(
+        self, flow: Flow, segment: Segment, datagram: bytes, now: float
+    ) -> None:
+        """Take a caller's copy of an opening that is known."""
+        if flow.state is FlowState.WAITING:
+            return
+        if flow.state is FlowState.OPEN:
+            self._forward(flow.tried[-1], datagram)
+            return
+        if not self._send_opening(flow, now):
+            self._forward(flow.tried[-1], datagram)
+
+    def _send_opening(self, flow: Flow, now: float) -> bool:
+        """Send an opening to the best upstream that has not had it."""
+        candidates = self._view.candidates(flow.service)
+        upstream = self._selector.choose(candidates, flow.tried, now)
+        if upstream is None:
+            return False
+        upstream.open_flows += 1
+        flow.tried.append(upstream)
+        flow.state = FlowState.SENT
+        flow.sent_at = flow.seen_at = now
+        self._unanswered[flow.segment.flow] = now + RESEND_S
+        self._unanswered.move_to_end(flow.segment.flow)
+        self._forward(upstream, flow.datagram)
+        return True
+
+    def _resend(self, flow_key: bytes, now: float) -> None:
+        """Send an opening without an answer to another upstream as well."""
+        flow = self._flows.get(flow_key)
+        if flow is None or flow.state is not FlowState.SENT:
+            return
+        silent = flow.tried[-1]
+        self._health.note_silence(silent, now)
+        if len(flow.tried) >= RESENDS or now - flow.since > OPENING_LIFE_S:
+            return
+        if self._send_opening(flow, now):
+            self._counts.resent += 1
+            _LOG.decision(
+                "an opening without an answer goes to a second upstream.",
+                flow=self._codec.describe(flow.segment),
+                silent=silent.name,
+                upstream=flow.tried[-1].name,
+                waited_ms=round((now - flow.since) * 1000),
+                silent_openings=silent.unanswered,
+                version=self._version(),
+            )
+
+    # Waiting -------------------------------------------------------------------
+
+    def _enqueue(self, flow: Flow, now: float) -> None:
+        queue = self._queues.setdefault(flow.service, _ServiceQueue(window_start=now))
+        if len(queue.heap) >= queue.capacity:
+            self._reset(
+                flow.segment,
+                "too many wait",
+                waiting=len(queue.heap),
+                finished_per_s=round(queue.rate_per_s, 1),
+            )
+            return
+        self._counts.waited += 1
+        flow.seen_at = now
+        self._flows[flow.segment.flow] = flow
+        heappush(queue.heap, (flow.route.priority, now, flow.segment.flow))
+
+    def _serve_queue(self, service: str, queue: _ServiceQueue, now: float) -> None:
+        """Send waiting openings while there is room."""
+        while queue.heap:
+            _, since, flow_key = queue.heap[0]
+            flow = self._flows.get(flow_key)
+            if flow is None or flow.state is not FlowState.WAITING:
+                heappop(queue.heap)
+                continue
+            if now - since > OPENING_LIFE_S:
+                heappop(queue.heap)
+                del self._flows[flow_key]
+                self._drop("waited too long")
+                continue
+            if not self._send_opening(flow, now):
+                return
+            heappop(queue.heap)
+
+    # Open flows ----------------------------------------------------------------
+
+    def _handle_later(self, segment: Segment, datagram: bytes, now: float) -> None:
+        """Take a packet of a flow that its caller takes to be open."""
+        flow = self._flows.get(segment.flow)
+        upstream = self._view.roster.by_token.get(segment.token)
+        if flow is not None:
+            flow.seen_at = now
+            if flow.state is FlowState.SENT and upstream in flow.tried:
+                self._note_open(flow, upstream, now)
+            if segment.closes or segment.aborts:
+                self._note_end(flow, segment, now)
+        if upstream is None:
+            self._drop("unknown token")
+            return
+        self._forward(upstream, datagram)
+
+    def _note_open(self, flow: Flow, upstream: Upstream, now: float) -> None:
+        self._unanswered.pop(flow.segment.flow, None)
+        self._counts.answered += 1
+        for other in flow.tried:
+            if other is not upstream:
+                other.open_flows -= 1
+        flow.tried = [upstream]
+        flow.state = FlowState.OPEN
+        self._health.note_answer(upstream, now)
+        flow.sent_at = now
+
+    def _note_end(self, flow: Flow, segment: Segment, now: float) -> None:
+        if flow.state is FlowState.OPEN and segment.closes:
+            flow.tried[0].note_service_time(now - flow.sent_at)
+        queue = self._queues.get(flow.service)
+        if queue is not None:
+            queue.note_finished(now)
+        self._forget(flow)
+        if queue is not None and queue.heap:
+            self._serve_queue(flow.service, queue, now)
+
+    def _forget(self, flow: Flow) -> None:
+        del self._flows[flow.segment.flow]
+        self._unanswered.pop(flow.segment.flow, None)
+        for upstream in flow.tried:
+            upstream.open_flows -= 1
+
+    def _sweep(self, now: float) -> None:
+        """Stop counting flows that ended without a packet that says so."""
+        for flow in list(self._flows.values()):
+            limit_s = IDLE_S if flow.state is FlowState.OPEN else OPENING_LIFE_S
+            if now - flow.seen_at > limit_s:
+                self._forget(flow)
+
+    # Packets out ---------------------------------------------------------------
+
+    def _forward(self, upstream: Upstream, datagram: bytes) -> None:
+        packet = self._codec.forward(datagram, upstream.instance, upstream.token)
+        self._port.to_upstream(upstream.address, packet)
+
+    def _reset(self, segment: Segment, reason: str, **inputs: object) -> None:
+        counts = self._counts.reset
+        counts[reason] = counts.get(reason, 0) + 1
+        self._port.to_caller(segment.caller, self._codec.reset(segment))
+        _LOG.decision(
+            "an opening is refused.",
+            flow=self._codec.describe(segment),
+            reason=reason,
+            **inputs,
+        )
+
+    def _drop(self, reason: str) -> None:
+        counts = self._counts.dropped
+        counts[reason] = counts.get(reason, 0) + 1
+
+    def _version(self) -> int:
+        table = self._view.table
+        return table.version if table else 0
--- a/egrethook/callers/front.py
+++ b/egrethook/callers/front.py
@@ -23,7 +23,7 @@
 from egrethook.exceptions import BadMessageError, TokenError
 from egrethook.metrics import Metrics
 from egrethook.network import Datagrams
-from egrethook.platform.configuration import Configuration
+from egrethook.published.configuration import Configuration
 from egrethook.tracing import Tracer
 from egrethook.types import Address
 from egrethook.upstreams.interfaces import ConfigurationSource
--- a/egrethook/callers/routing.py
+++ b/egrethook/callers/routing.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from egrethook.callers.tokens import Token
-from egrethook.platform.configuration import Configuration, Endpoint
+from egrethook.published.configuration import Configuration, Endpoint
 from egrethook.types import Address
 from egrethook.verdicts import Refusal
 
--- /dev/null
+++ b/egrethook/discovery/http_client.py
@@ -0,0 +1,85 @@
+"""Calls an HTTP service over connections that are kept open."""
+
+from __future__ import annotations
+
+import anyio
+from anyio.abc import ByteStream
+
+from egrethook.discovery.http_exchange import (
+    HttpResponse,
+    ResponseReader,
+    request_bytes,
+)
+from egrethook.exceptions import SourceUnavailableError
+from egrethook.types import Address
+
+CONNECT_TIMEOUT_S = 0.6
+"""Time in which a connection is made, in seconds."""
+
+
+class HttpClient:
+    """Makes one call after the other; owns one connection.
+
+    Parameters
+    ----------
+    address : Address
+        Where the service listens.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._stream: ByteStream | None = None
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far."""
+        return self._calls
+
+    async def get(self, path: str, timeout_s: float, **query: object) -> HttpResponse:
+        """Make one call.
+
+        Raises
+        ------
+        SourceUnavailableError
+            If there is no whole answer in time; the connection is given up.
+        """
+        kept = self._stream is not None
+        try:
+            with anyio.fail_after(timeout_s):
+                return await self._exchange(path, query)
+        except (OSError, TimeoutError, anyio.BrokenResourceError) as error:
+            await self.aclose()
+            reason = str(error) or type(error).__name__
+        except SourceUnavailableError as error:
+            await self.aclose()
+            reason = error.args[0]
+        except BaseException:
+            # A connection with an answer under way can't be used again.
+            with anyio.CancelScope(shield=True):
+                await self.aclose()
+            raise
+        which = "a kept" if kept else "a new"
+        raise SourceUnavailableError(f"{path} on {which} connection: {reason}")
+
+    async def aclose(self) -> None:
+        """Close the connection; the next call makes a new one."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            await anyio.aclose_forcefully(stream)
+
+    async def _exchange(self, path: str, query: dict[str, object]) -> HttpResponse:
+        if self._stream is None:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                self._stream = await anyio.connect_tcp(*self._address)
+        self._calls += 1
+        await self._stream.send(request_bytes(self._address.host, path, **query))
+        reader = ResponseReader()
+        while True:
+            try:
+                data = await self._stream.receive()
+            except anyio.EndOfStream:
+                data = b""
+            response = reader.feed(data)
+            if response is not None:
+                return response
--- /dev/null
+++ b/egrethook/discovery/replica.py
@@ -0,0 +1,68 @@
+"""A process's copy of the published items, and how fresh it is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from egrethook.discovery.catalog import Catalog
+from egrethook.discovery.records import Changes, PublishedItem, Snapshot
+
+Listener = Callable[[Sequence[PublishedItem], int], None]
+"""Called with the items that changed and the revision held before."""
+
+
+class Replica:
+    """Merges readings of the registry and deltas from other balancers.
+
+    Parameters
+    ----------
+    listener : callable
+        Called after each change.
+    """
+
+    def __init__(self, listener: Listener) -> None:
+        self._catalog = Catalog()
+        self._listener = listener
+        self._fresh_at = float("-inf")
+
+    @property
+    def catalog(self) -> Catalog:
+        """The items."""
+        return self._catalog
+
+    @property
+    def revision(self) -> int:
+        """The revision up to which every change is held."""
+        return self._catalog.revision
+
+    def age(self, now: float) -> float:
+        """Return how long ago the copy was known to be current, in seconds."""
+        return now - self._fresh_at
+
+    def distrust(self) -> None:
+        """Forget that the copy was current, as after a pause of the process."""
+        self._fresh_at = float("-inf")
+
+    def take_snapshot(self, snapshot: Snapshot, now: float) -> None:
+        """Merge a complete reading of the registry."""
+        before = self._catalog.revision
+        changed = self._catalog.replace(snapshot)
+        self._fresh_at = max(self._fresh_at, now)
+        self._notify(changed, before)
+
+    def take_changes(self, changes: Changes, known_at: float) -> None:
+        """Merge changes that were current at a time."""
+        before = self._catalog.revision
+        changed = self._catalog.apply(changes)
+        if changes.after <= before and changes.revision >= before:
+            self._fresh_at = max(self._fresh_at, known_at)
+        self._notify(changed, before)
+
+    def confirm(self, revision: int, known_at: float) -> None:
+        """Note that a revision was the newest at a time."""
+        if revision == self._catalog.revision:
+            self._fresh_at = max(self._fresh_at, known_at)
+
+    def _notify(self, changed: Sequence[PublishedItem], before: int) -> None:
+        if changed or self._catalog.revision != before:
+            self._listener(changed, before)
--- /dev/null
+++ b/egrethook/discovery/view.py
@@ -0,0 +1,153 @@
+"""What the published items mean for forwarding."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from zlib import crc32
+
+from egrethook.discovery.records import (
+    ItemKind,
+    PublishedItem,
+    RecordDecoder,
+    Route,
+    RouteTable,
+)
+from egrethook.exceptions import DocumentError
+from egrethook.logs import PartLog
+from egrethook.upstreams.roster import Roster
+from egrethook.upstreams.upstream import Upstream
+
+_LOG = PartLog("view")
+
+
+class ForwardingView:
+    """Routes, upstreams and the failure domains that are out of service.
+
+    Parameters
+    ----------
+    decoder : RecordDecoder
+        Reads the values of published items.
+    flow_life_s : float
+        The longest life of a flow, in seconds.
+    """
+
+    def __init__(self, decoder: RecordDecoder, flow_life_s: float) -> None:
+        self._decoder = decoder
+        self._roster = Roster(flow_life_s)
+        self._table: RouteTable | None = None
+        self._routes: dict[tuple[int, int], Route] = {}
+        self._domains_out: set[str] = set()
+
+    @property
+    def roster(self) -> Roster:
+        """The upstreams."""
+        return self._roster
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The operators' configuration in force; None before the first."""
+        return self._table
+
+    @property
+    def domains_out(self) -> frozenset[str]:
+        """The failure domains that get no new flows."""
+        return frozenset(self._domains_out)
+
+    def update(self, items: Iterable[PublishedItem], now: float) -> None:
+        """Take items that have changed; one that is not valid changes nothing."""
+        for item in items:
+            try:
+                self._APPLY[item.kind](self, item, now)
+            except DocumentError as error:
+                _LOG.alarm(
+                    "a published item is not valid; the last good one stays.",
+                    kind=item.kind.name,
+                    item=item.name,
+                    revision=item.revision,
+                    error=str(error),
+                )
+
+    def route(self, address: tuple[int, int]) -> Route | None:
+        """Return the route of an address and port."""
+        return self._routes.get(address)
+
+    def candidates(self, service: str) -> Sequence[Upstream]:
+        """Return the upstreams that may get a new flow of a service."""
+        out = self._domains_out
+        return [
+            upstream
+            for upstream in self._roster.of_service(service)
+            if upstream.accepts_flows and upstream.domain not in out
+        ]
+
+    def _apply_routes(self, item: PublishedItem, now: float) -> None:
+        if item.value is None:
+            return
+        table = self._decoder.routes(item.value)
+        if self._table is not None and table.version <= self._table.version:
+            return
+        self._table = table
+        self._routes = {route.address: route for route in table.routes}
+        _LOG.info(
+            "a configuration is in force.",
+            version=table.version,
+            revision=item.revision,
+            routes=len(table.routes),
+        )
+
+    def _apply_upstream(self, item: PublishedItem, now: float) -> None:
+        if item.value is None:
+            _LOG.info(
+                "an upstream's record is gone.",
+                upstream=item.name,
+                revision=item.revision,
+            )
+            self._roster.remove(item.name, now)
+            return
+        try:
+            record = self._decoder.upstream(item.name, item.value)
+        except DocumentError:
+            self._roster.remove(item.name, now)
+            raise
+        upstream = self._roster.put(record, now)
+        _LOG.info(
+            "an upstream's record has changed.",
+            upstream=item.name,
+            revision=item.revision,
+            service=record.service,
+            phase=record.phase.value,
+            failure_domain=record.failure_domain,
+            cold=upstream.is_cold(now),
+        )
+
+    def _apply_domain(self, item: PublishedItem, now: float) -> None:
+        if item.value is None:
+            self._domains_out.discard(item.name)
+        else:
+            self._domains_out.add(item.name)
+        _LOG.info(
+            "a failure domain has changed.",
+            failure_domain=item.name,
+            revision=item.revision,
+            in_service=item.value is None,
+        )
+
+    _APPLY = {
+        ItemKind.ROUTES: _apply_routes,
+        ItemKind.UPSTREAM: _apply_upstream,
+        ItemKind.DOMAIN_OUT: _apply_domain,
+    }
+
+
+def pick_service(route: Route, flow: bytes) -> str:
+    """Return the service of a flow, alike on every balancer."""
+    services = route.services
+    if len(services) == 1:
+        return services[0].service
+    total = sum(share.weight for share in services)
+    point = crc32(flow) % max(total, 1)
+    for share in services:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return services[-1].service
--- a/egrethook/emulator/builders.py
+++ b/egrethook/emulator/builders.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 
 from egrethook.callers.tokens import KeyRing
-from egrethook.platform.configuration import (
+from egrethook.published.configuration import (
     Configuration,
     Domain,
     Endpoint,
--- a/egrethook/emulator/fabric.py
+++ b/egrethook/emulator/fabric.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 
 from egrethook.network import Datagrams
-from egrethook.platform.configuration import ConfigurationStore
+from egrethook.published.configuration import ConfigurationStore
 from egrethook.types import Address, VmState
 
 
--- a/egrethook/emulator/platform.py
+++ b/egrethook/emulator/platform.py
@@ -14,7 +14,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from egrethook.platform.documents import render, validate
+from egrethook.published.documents import render, validate
 
 HISTORY = 16
 """Publications to which the stand-in can go back."""
--- a/egrethook/emulator/runner.py
+++ b/egrethook/emulator/runner.py
@@ -17,8 +17,8 @@
 from egrethook.emulator.upstream import UpstreamStandIn, listen
 from egrethook.httpserver import bind_http, serve_http
 from egrethook.network import DatagramSocket, SystemNetwork
-from egrethook.platform.configuration import ConfigurationStore
-from egrethook.platform.reader import PlatformReader
+from egrethook.published.configuration import ConfigurationStore
+from egrethook.published.reader import PlatformReader
 from egrethook.tracing import Tracer
 from egrethook.types import Address
 
--- a/egrethook/emulator/settings.py
+++ b/egrethook/emulator/settings.py
@@ -8,7 +8,7 @@
 from pydantic import Field, TypeAdapter, ValidationError
 
 from egrethook.exceptions import DocumentError, SettingsError
-from egrethook.platform.documents import (
+from egrethook.published.documents import (
     AddressText,
     EndpointModel,
     Model,
--- a/egrethook/emulator/upstream.py
+++ b/egrethook/emulator/upstream.py
@@ -17,7 +17,7 @@
 from egrethook.callers.tokens import Token, read_unverified
 from egrethook.exceptions import BadMessageError, TokenError
 from egrethook.network import Datagrams, DatagramSocket
-from egrethook.platform.documents import EndpointModel
+from egrethook.published.documents import EndpointModel
 from egrethook.tracing import Tracer
 from egrethook.types import Address
 from egrethook.upstreams import frames
--- a/egrethook/emulator/virtual.py
+++ b/egrethook/emulator/virtual.py
@@ -20,9 +20,9 @@
 from egrethook.emulator.upstream import UpstreamStandIn
 from egrethook.emulator.virtualnet import HostNetwork, VirtualNetwork
 from egrethook.operators.admin import AdminApi
-from egrethook.platform.configuration import ConfigurationStore
-from egrethook.platform.documents import EndpointModel
-from egrethook.platform.reader import PlatformReader
+from egrethook.published.configuration import ConfigurationStore
+from egrethook.published.documents import EndpointModel
+from egrethook.published.reader import PlatformReader
 from egrethook.settings import BalancerSettings
 from egrethook.tracing import Tracer
 from egrethook.types import Address, UpstreamState, VmState
--- a/egrethook/exceptions.py
+++ b/egrethook/exceptions.py
@@ -125,6 +125,19 @@
     code = "E402"
 
 
+class SourceUnavailableError(EgrethookError):
+    """A service registry that refuses, fails or does not answer in time."""
+
+    code = "E501"
+    exit_status = 4
+
+
+class HistoryLostError(EgrethookError):
+    """A service registry that no longer knows the changes asked for."""
+
+    code = "E502"
+
+
 def error_classes() -> list[type[EgrethookError]]:
     """Return the exception classes sorted by code."""
     return sorted(EgrethookError.__subclasses__(), key=lambda cls: cls.code)
--- /dev/null
+++ b/egrethook/forwarder.py
@@ -0,0 +1,160 @@
+"""One balancer whose callers' packets are forwarded unread."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Sequence
+from ipaddress import IPv4Address
+from types import TracebackType
+from typing import Self
+
+from egrethook.callers.flow_dispatch import FlowDispatcher
+from egrethook.callers.segments import Endpoint, SegmentCodec
+from egrethook.clock import MonotonicClock
+from egrethook.datagrams import DatagramSocket
+from egrethook.discovery.records import PublishedItem, RecordDecoder
+from egrethook.discovery.replica import Replica
+from egrethook.discovery.view import ForwardingView
+from egrethook.forwarder_settings import ForwarderSettings
+from egrethook.types import Address
+from egrethook.upstreams.health import PassiveHealth
+from egrethook.upstreams.selection import LeastFlowsSelector
+
+
+class CallerPort:
+    """Sends packets from the socket that callers' packets arrive at."""
+
+    def __init__(self, socket: DatagramSocket) -> None:
+        self._socket = socket
+        self._port = socket.address.port
+
+    def to_upstream(self, address: tuple[str, int], packet: bytes) -> None:
+        """Send a packet to an upstream."""
+        self._socket.send(address, packet)
+
+    def to_caller(self, caller: Endpoint, packet: bytes) -> None:
+        """Send a packet to a caller, whose packets use this socket's port too."""
+        self._socket.send((str(IPv4Address(caller[0])), self._port), packet)
+
+
+class Forwarder:
+    """Owns the packet socket, the replica of the registry and the flows.
+
+    It needs no event loop: `serve_ready` handles what has arrived.
+
+    Parameters
+    ----------
+    settings : ForwarderSettings
+        What this process has been told.
+    codec : SegmentCodec
+        Reads and writes the callers' packets.
+    decoder : RecordDecoder
+        Reads published items.
+    """
+
+    def __init__(
+        self,
+        settings: ForwarderSettings,
+        codec: SegmentCodec,
+        decoder: RecordDecoder,
+    ) -> None:
+        self._settings = settings
+        self._clock = MonotonicClock()
+        self._rng = random.Random()
+        self._socket = DatagramSocket(Address.parse(settings.packets))
+        self._view = ForwardingView(decoder, settings.flow_life_s)
+        self._listeners: list = []
+        self._replica = Replica(self._on_changes)
+        self._dispatcher = FlowDispatcher(
+            self._view,
+            codec,
+            CallerPort(self._socket),
+            LeastFlowsSelector(
+                settings.failure_domain, settings.flow_limit, self._rng
+            ),
+            PassiveHealth(),
+        )
+        self._first_forwarded_s: float | None = None
+
+    @property
+    def settings(self) -> ForwarderSettings:
+        """What this process has been told."""
+        return self._settings
+
+    @property
+    def clock(self) -> MonotonicClock:
+        """The clock of this process."""
+        return self._clock
+
+    @property
+    def rng(self) -> random.Random:
+        """The source of random choices."""
+        return self._rng
+
+    @property
+    def socket(self) -> DatagramSocket:
+        """The socket for callers' packets."""
+        return self._socket
+
+    @property
+    def replica(self) -> Replica:
+        """The published items."""
+        return self._replica
+
+    @property
+    def view(self) -> ForwardingView:
+        """What the published items mean."""
+        return self._view
+
+    @property
+    def dispatcher(self) -> FlowDispatcher:
+        """The flows."""
+        return self._dispatcher
+
+    @property
+    def ready(self) -> bool:
+        """Whether flows can be forwarded."""
+        return self._view.table is not None and len(self._view.roster) > 0
+
+    def serve_ready(self) -> None:
+        """Handle the packets that have arrived, then what is due."""
+        while True:
+            batch = self._socket.receive_ready()
+            now = self._clock.now()
+            handle = self._dispatcher.handle
+            for datagram, _ in batch:
+                handle(datagram, now)
+            if len(batch) < 64:
+                break
+        self._dispatcher.tick(self._clock.now())
+
+    def housekeep(self) -> None:
+        """Drop what has expired, and note how far the view can be trusted."""
+        now = self._clock.now()
+        self._view.roster.expire(now)
+        self._dispatcher.trusts_view = self._replica.age(now) < TRUST_S
+
+    def on_changes(self, listener) -> None:
+        """Have a callable told of each change of the replica."""
+        self._listeners.append(listener)
+
+    def _on_changes(self, items: Sequence[PublishedItem], before: int) -> None:
+        self._view.update(items, self._clock.now())
+        for listener in self._listeners:
+            listener(items, before)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._socket.close()
+
+
+TRUST_S = 2.5
+"""Age up to which a view may refuse unknown routes, in seconds."""
--- a/egrethook/operators/admin.py
+++ b/egrethook/operators/admin.py
@@ -11,7 +11,7 @@
 
 from egrethook.balancer import Balancer
 from egrethook.operators.status import balancer_status
-from egrethook.platform.configuration import DocumentKey
+from egrethook.published.configuration import DocumentKey
 
 JSON = "application/json"
 
--- a/egrethook/operators/changes.py
+++ b/egrethook/operators/changes.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from egrethook.exceptions import DocumentError
-from egrethook.platform.documents import Document, IndexDocument, validate
+from egrethook.published.documents import Document, IndexDocument, validate
 
 
 def _index(document: Document) -> IndexDocument:
--- a/egrethook/operators/checks.py
+++ b/egrethook/operators/checks.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from egrethook.exceptions import DocumentError
-from egrethook.platform.documents import Document, load_yaml, validate
+from egrethook.published.documents import Document, load_yaml, validate
 from egrethook.settings import parse_settings, read_text
 
 
--- a/egrethook/operators/commands.py
+++ b/egrethook/operators/commands.py
@@ -37,7 +37,7 @@
 from egrethook.operators.fleet import HEADINGS as FLEET_HEADINGS
 from egrethook.operators.fleet import BalancerState, Fleet, ask_to_leave, fleet_rows
 from egrethook.operators.reference import check_pages, write_pages
-from egrethook.platform.documents import Document, IndexDocument
+from egrethook.published.documents import Document, IndexDocument
 from egrethook.settings import load_settings, read_text
 from egrethook.version import __version__
 
--- a/egrethook/operators/fleet.py
+++ b/egrethook/operators/fleet.py
@@ -14,8 +14,8 @@
     UnauthorizedError,
 )
 from egrethook.network import SystemNetwork
-from egrethook.platform.configuration import ConfigurationStore
-from egrethook.platform.reader import PlatformReader
+from egrethook.published.configuration import ConfigurationStore
+from egrethook.published.reader import PlatformReader
 
 CALL_TIMEOUT_S = 3.0
 """Time in which a balancer answers, in seconds."""
--- /dev/null
+++ b/egrethook/operators/probes.py
@@ -0,0 +1,96 @@
+"""Answers readiness probes and serves metrics over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+import anyio
+import httptools
+from anyio.abc import ByteStream
+
+from egrethook.types import Address
+
+IDLE_S = 60.0
+"""Time without a request after which a connection is closed, in seconds."""
+
+_REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+
+
+class ProbeAnswer(NamedTuple):
+    """What is answered to a probe."""
+
+    status: int
+    body: bytes = b""
+
+
+Handler = Callable[[], ProbeAnswer]
+
+
+class _RequestReader:
+    """Collects the paths of the requests on one connection."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b""
+        self.paths: list[str] = []
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._url = b""
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._url += url
+
+    def on_message_complete(self) -> None:
+        """Note that a request is whole."""
+        path = self._url.partition(b"?")[0]
+        self.paths.append(path.decode("latin-1"))
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes from the connection."""
+        self._parser.feed_data(data)
+
+
+async def serve_probes(address: Address, handlers: Mapping[str, Handler]) -> None:
+    """Serve until cancelled; a task for each connection.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    handlers : mapping of str to callable
+        The answer to each path.
+    """
+
+    async def serve_connection(stream: ByteStream) -> None:
+        async with stream:
+            reader = _RequestReader()
+            try:
+                while True:
+                    with anyio.fail_after(IDLE_S):
+                        reader.feed(await stream.receive())
+                    while reader.paths:
+                        await stream.send(_answer(handlers, reader.paths.pop(0)))
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                TimeoutError,
+                httptools.HttpParserError,
+            ):
+                return
+
+    listener = await anyio.create_tcp_listener(
+        local_host=address.host, local_port=address.port, reuse_port=False
+    )
+    async with listener:
+        await listener.serve(serve_connection)
+
+
+def _answer(handlers: Mapping[str, Handler], path: str) -> bytes:
+    handler = handlers.get(path)
+    answer = handler() if handler else ProbeAnswer(404)
+    reason = _REASONS[answer.status]
+    head = f"HTTP/1.1 {answer.status} {reason}\r\nContent-Length: {len(answer.body)}"
+    return f"{head}\r\n\r\n".encode() + answer.body
--- a/egrethook/operators/reference.py
+++ b/egrethook/operators/reference.py
@@ -13,7 +13,7 @@
     UpstreamSettings,
 )
 from egrethook.exceptions import DocumentError, error_classes
-from egrethook.platform import documents
+from egrethook.published import documents
 from egrethook.settings import BalancerSettings
 from egrethook.verdicts import Refusal, Verdict
 
--- a/egrethook/platform/__init__.py
+++ b/egrethook/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's side: reader, documents and the configuration in force."""
+"""Translates between the users' platform and the product; decides nothing."""
--- /dev/null
+++ b/egrethook/platform/packet_header.py
@@ -0,0 +1,71 @@
+"""The 36-byte header of the platform's packets."""
+
+from __future__ import annotations
+
+import struct
+
+from egrethook.callers.segments import Segment
+
+HEADER = struct.Struct(">HHHIIIIB5xI4s")
+"""len, sport, dport, src, dst, seq, ack, flags, echo, sum."""
+
+INTENDED = struct.Struct(">Q")
+"""The instance that a packet is meant for, before the packet itself."""
+
+ECHO_OFFSET = 28
+ECHO = struct.Struct(">I")
+
+SYN = 4
+FIN = 32
+RST = 64
+FLOW = slice(2, 14)
+"""Ports and addresses of both ends."""
+
+
+class PacketHeader:
+    """Reads and writes headers; see `SegmentCodec`."""
+
+    def decode(self, datagram: bytes) -> Segment | None:
+        """Return the header of a packet, or None if it has none."""
+        if len(datagram) < HEADER.size:
+            return None
+        length, sport, dport, src, dst, _, ack, flags, echo, _ = HEADER.unpack_from(
+            datagram
+        )
+        opens = flags & SYN != 0
+        return Segment(
+            flow=datagram[FLOW],
+            caller=(src, sport),
+            target=(dst, dport),
+            opens=opens,
+            closes=flags & FIN != 0,
+            aborts=flags & RST != 0,
+            token=echo,
+            # In a SYN, `ack` says which copy it is.
+            copies=ack if opens else 0,
+            acknowledged=0 if opens else ack,
+            length=length,
+        )
+
+    def forward(self, datagram: bytes, instance: int, token: int) -> bytes:
+        """Return a packet as it is sent to one instance of an upstream."""
+        echo = ECHO.pack(token)
+        head = datagram[:ECHO_OFFSET]
+        return INTENDED.pack(instance) + head + echo + datagram[ECHO_OFFSET + 4 :]
+
+    def reset(self, segment: Segment) -> bytes:
+        """Return an RST from the route's address to the caller's."""
+        caller, port = segment.caller
+        target, target_port = segment.target
+        return HEADER.pack(
+            0, target_port, port, target, caller, 0, 0, RST, 0, b"\0\0\0\0"
+        )
+
+    def describe(self, segment: Segment) -> str:
+        """Return both ends as ``address:port>address:port``."""
+        return f"{_text(*segment.caller)}>{_text(*segment.target)}"
+
+
+def _text(host: int, port: int) -> str:
+    octets = host.to_bytes(4, "big")
+    return f"{octets[0]}.{octets[1]}.{octets[2]}.{octets[3]}:{port}"
--- /dev/null
+++ b/egrethook/published/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's side: reader, documents and the configuration in force."""
--- a/egrethook/platform/configuration.py
+++ b/egrethook/published/configuration.py
@@ -8,7 +8,7 @@
 
 from egrethook.callers.tokens import KeyRing
 from egrethook.exceptions import DocumentError
-from egrethook.platform.documents import (
+from egrethook.published.documents import (
     EndpointModel,
     IndexDocument,
     PresetModel,
--- a/egrethook/platform/reader.py
+++ b/egrethook/published/reader.py
@@ -11,7 +11,7 @@
 from egrethook.exceptions import DocumentError
 from egrethook.logs import PartLog
 from egrethook.network import Network
-from egrethook.platform.configuration import ConfigurationStore, DocumentKey
+from egrethook.published.configuration import ConfigurationStore, DocumentKey
 
 WATCH_S = 8.0
 """Longest time that one watch waits at the platform, in seconds.
--- a/egrethook/settings.py
+++ b/egrethook/settings.py
@@ -8,7 +8,7 @@
 from pydantic import Field, ValidationError, field_validator
 
 from egrethook.exceptions import DocumentError, SettingsError
-from egrethook.platform.documents import AddressText, Model, describe, load_yaml
+from egrethook.published.documents import AddressText, Model, describe, load_yaml
 from egrethook.types import Address, Name
 
 Secret = Annotated[str, Field(min_length=16, max_length=256)]
--- a/egrethook/upstreams/admission.py
+++ b/egrethook/upstreams/admission.py
@@ -6,7 +6,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from egrethook.platform.configuration import Endpoint, Limits
+from egrethook.published.configuration import Endpoint, Limits
 from egrethook.types import UpstreamState
 from egrethook.upstreams.warmup import Capacity, Warmth, WarmUp
 
--- a/egrethook/upstreams/choice.py
+++ b/egrethook/upstreams/choice.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from egrethook.balancers.peer_packets import Tried
-from egrethook.platform.configuration import Endpoint
+from egrethook.published.configuration import Endpoint
 from egrethook.upstreams.admission import FULL_PPM
 
 
--- a/egrethook/upstreams/executor.py
+++ b/egrethook/upstreams/executor.py
@@ -9,7 +9,7 @@
 from egrethook.callers.packets import Cancel, Done, Fetch, Run
 from egrethook.callers.tokens import Token, new_serial
 from egrethook.clock import Clock
-from egrethook.platform.configuration import Limits
+from egrethook.published.configuration import Limits
 from egrethook.retries import RetryBudget
 from egrethook.types import Address, ExecutorId
 from egrethook.upstreams.admission import Report, ShedReason
--- a/egrethook/upstreams/interfaces.py
+++ b/egrethook/upstreams/interfaces.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from egrethook.callers.packets import Run
-from egrethook.platform.configuration import Configuration
+from egrethook.published.configuration import Configuration
 from egrethook.types import Address
 
 
--- a/egrethook/upstreams/issuer.py
+++ b/egrethook/upstreams/issuer.py
@@ -5,7 +5,7 @@
 from egrethook.callers.packets import Grant, Granted, Open, Opened
 from egrethook.callers.tokens import Token, new_serial
 from egrethook.clock import Clock
-from egrethook.platform.configuration import Endpoint
+from egrethook.published.configuration import Endpoint
 from egrethook.types import Address, ExecutorId
 from egrethook.upstreams.interfaces import ConfigurationSource, PacketSender
 from egrethook.upstreams.pool import OwnedUpstream, UpstreamPool
--- a/egrethook/upstreams/link.py
+++ b/egrethook/upstreams/link.py
@@ -15,7 +15,7 @@
 from egrethook.exceptions import BadMessageError, LinkError
 from egrethook.logs import PartLog
 from egrethook.network import Network
-from egrethook.platform.configuration import Endpoint
+from egrethook.published.configuration import Endpoint
 from egrethook.types import ExecutorId
 from egrethook.upstreams import frames
 from egrethook.upstreams.admission import Report, ShedReason
--- a/egrethook/upstreams/links.py
+++ b/egrethook/upstreams/links.py
@@ -9,7 +9,7 @@
 
 from egrethook.clock import Clock
 from egrethook.network import Network
-from egrethook.platform.configuration import Configuration, Endpoint
+from egrethook.published.configuration import Configuration, Endpoint
 from egrethook.types import ExecutorId
 from egrethook.upstreams.executor import Executor
 from egrethook.upstreams.link import UpstreamLink
--- a/egrethook/upstreams/pool.py
+++ b/egrethook/upstreams/pool.py
@@ -7,7 +7,7 @@
 
 from egrethook.balancers.peer_packets import Tried
 from egrethook.clock import Clock
-from egrethook.platform.configuration import Endpoint, Limits
+from egrethook.published.configuration import Endpoint, Limits
 from egrethook.upstreams.admission import Admission
 from egrethook.upstreams.backlog import Backlog
 from egrethook.upstreams.interfaces import RequestLink
--- /dev/null
+++ b/egrethook/upstreams/roster.py
@@ -0,0 +1,127 @@
+"""The upstreams that a balancer knows, also those that have just gone."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+
+from egrethook.discovery.records import UpstreamPhase, UpstreamRecord
+from egrethook.upstreams.upstream import Upstream
+
+LAPSE_GRACE_S = 2.2
+"""How long an upstream that answers outlives its record, in seconds.
+
+Records that lapsed while the registry was away return within about 2 s.
+"""
+
+ALIVE_S = 1.5
+"""An upstream that answered so recently is taken to be alive, in seconds."""
+
+
+class Roster:
+    """The upstreams by name, by service and by token.
+
+    Upstreams that have gone keep their tokens for `flow_life_s`, so that the
+    packets of their flows still reach them while they finish.
+
+    Parameters
+    ----------
+    flow_life_s : float
+        The longest life of a flow, in seconds.
+    """
+
+    def __init__(self, flow_life_s: float) -> None:
+        self._flow_life_s = flow_life_s
+        self._by_name: dict[str, Upstream] = {}
+        self._by_token: dict[int, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+        self._lapsed: dict[str, float] = {}
+        self._gone: dict[int, Upstream] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    @property
+    def by_token(self) -> Mapping[int, Upstream]:
+        """Every upstream that a flow may still have, by its token."""
+        return self._by_token
+
+    def get(self, name: str) -> Upstream | None:
+        """Return the current incarnation of an upstream."""
+        return self._by_name.get(name)
+
+    def of_service(self, service: str) -> Sequence[Upstream]:
+        """Return the current upstreams of a service, draining ones included."""
+        return self._by_service.get(service, ())
+
+    def all(self) -> list[Upstream]:
+        """Return all current upstreams."""
+        return list(self._by_name.values())
+
+    def put(self, record: UpstreamRecord, now: float) -> Upstream:
+        """Take a record, which may describe a new incarnation."""
+        self._lapsed.pop(record.name, None)
+        held = self._by_name.get(record.name)
+        if held is not None and held.record.started_ms == record.started_ms:
+            held.update(record, now)
+        else:
+            if held is not None:
+                self._retire(held, now)
+            held = Upstream(record, now)
+            self._by_name[record.name] = held
+            self._claim_token(held)
+        self._index()
+        return held
+
+    def remove(self, name: str, now: float) -> None:
+        """Note that a record is gone.
+
+        One that lapsed although its upstream answers is kept for a while.
+        """
+        held = self._by_name.get(name)
+        if held is None:
+            return
+        was_ready = held.record.phase is UpstreamPhase.READY
+        if was_ready and now - held.answered_at < ALIVE_S:
+            self._lapsed[name] = now + LAPSE_GRACE_S
+            return
+        self._drop(held, now)
+
+    def expire(self, now: float) -> None:
+        """Drop lapsed upstreams that did not return, and old tokens."""
+        for name, until in list(self._lapsed.items()):
+            if now >= until:
+                del self._lapsed[name]
+                self._drop(self._by_name[name], now)
+        for token, upstream in list(self._gone.items()):
+            gone_at = upstream.gone_at
+            if gone_at is None or now - gone_at < self._flow_life_s:
+                continue
+            del self._gone[token]
+            if self._by_token.get(token) is upstream:
+                del self._by_token[token]
+
+    def _drop(self, upstream: Upstream, now: float) -> None:
+        del self._by_name[upstream.name]
+        self._retire(upstream, now)
+        self._index()
+
+    def _retire(self, upstream: Upstream, now: float) -> None:
+        upstream.gone_at = now
+        self._gone[upstream.token] = upstream
+
+    def _claim_token(self, upstream: Upstream) -> None:
+        """Give a token to the lowest name of those that share it."""
+        holder = self._by_token.get(upstream.token)
+        taken = holder is not None and holder.gone_at is None
+        if not taken or upstream.name <= holder.name:
+            self._by_token[upstream.token] = upstream
+
+    def _index(self) -> None:
+        services = defaultdict(list)
+        for upstream in self._by_name.values():
+            if self._by_token.get(upstream.token) is upstream:
+                services[upstream.service].append(upstream)
+        self._by_service = dict(services)
+
+
--- /dev/null
+++ b/egrethook/upstreams/selection.py
@@ -0,0 +1,71 @@
+"""Which upstream gets a new flow."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection, Iterable
+from typing import Protocol
+
+from egrethook.upstreams.upstream import Upstream
+
+REMOTE_COST = 0.7
+"""What a way to another failure domain counts for, in open flows."""
+
+SLOW_FACTOR = 2.0
+"""An upstream whose mean service time exceeds the service's by this is slow."""
+
+
+class UpstreamSelector(Protocol):
+    """Chooses among the upstreams that may take a new flow."""
+
+    def choose(
+        self, candidates: Iterable[Upstream], tried: Collection[Upstream], now: float
+    ) -> Upstream | None:
+        """Return the best candidate with room, or None if none has room."""
+        ...
+
+
+class LeastFlowsSelector:
+    """Prefers the fewest open flows, its own failure domain and good answers.
+
+    Parameters
+    ----------
+    domain : str
+        The failure domain of this balancer.
+    flow_limit : int
+        Most open flows of one upstream through this balancer.
+    rng : random.Random
+        Breaks ties.
+    """
+
+    def __init__(self, domain: str, flow_limit: int, rng: random.Random) -> None:
+        self._domain = domain
+        self._flow_limit = flow_limit
+        self._rng = rng
+
+    def choose(
+        self, candidates: Iterable[Upstream], tried: Collection[Upstream], now: float
+    ) -> Upstream | None:
+        """Return the best candidate with room, or None if none has room."""
+        usable = [candidate for candidate in candidates if candidate not in tried]
+        trusted = [one for one in usable if not one.is_distrusted(now)]
+        pool = trusted or usable
+        roomy = [one for one in pool if one.open_flows < self._flow_limit]
+        if not roomy:
+            return None
+        cost = self._cost(pool)
+        return min(roomy, key=lambda one: (cost(one), self._rng.random()))
+
+    def _cost(self, pool: list[Upstream]) -> Callable[[Upstream], float]:
+        """Return the function by which candidates are compared."""
+        times = sorted(one.service_time_s for one in pool if one.service_time_s)
+        typical_s = times[len(times) // 2] if times else 0.0
+        domain = self._domain
+
+        def cost(one: Upstream) -> float:
+            value = one.open_flows + 1.0
+            if one.service_time_s > SLOW_FACTOR * typical_s > 0.0:
+                value *= one.service_time_s / typical_s
+            return value if one.domain == domain else value + REMOTE_COST
+
+        return cost
--- /dev/null
+++ b/egrethook/upstreams/upstream.py
@@ -0,0 +1,98 @@
+"""What one balancer knows of an upstream that takes packets of flows."""
+
+from __future__ import annotations
+
+from zlib import crc32
+
+from egrethook.discovery.records import UpstreamPhase, UpstreamRecord
+
+ANSWER_WEIGHT = 0.2
+"""Weight of the newest flow in the running mean of service times."""
+
+
+def flow_token(record: UpstreamRecord) -> int:
+    """Return the 32-bit token of an upstream's incarnation, never 0.
+
+    Every balancer computes the same token from the record alone.
+    """
+    text = f"{record.name}/{record.started_ms}".encode()
+    return crc32(text) or 1
+
+
+class Upstream:
+    """One incarnation of an upstream, with what its packets have shown.
+
+    Parameters
+    ----------
+    record : UpstreamRecord
+        The newest record of this incarnation.
+    now : float
+        The time at which it became known, in seconds.
+    """
+
+    __slots__ = (
+        "_cold_until",
+        "_record",
+        "address",
+        "answered_at",
+        "distrusted_until",
+        "domain",
+        "gone_at",
+        "instance",
+        "name",
+        "open_flows",
+        "service",
+        "service_time_s",
+        "token",
+        "unanswered",
+    )
+
+    def __init__(self, record: UpstreamRecord, now: float) -> None:
+        self._record = record
+        self._cold_until = now + record.cold_left_s
+        self.name = record.name
+        self.instance = record.instance
+        self.service = record.service
+        self.address = record.address
+        self.domain = record.failure_domain
+        self.token = flow_token(record)
+        self.open_flows = 0
+        self.unanswered = 0
+        self.answered_at = float("-inf")
+        self.distrusted_until = float("-inf")
+        self.service_time_s = 0.0
+        self.gone_at: float | None = None
+
+    @property
+    def record(self) -> UpstreamRecord:
+        """The newest record of this incarnation."""
+        return self._record
+
+    @property
+    def accepts_flows(self) -> bool:
+        """Whether the upstream itself wants new flows."""
+        return self._record.phase is UpstreamPhase.READY and self.gone_at is None
+
+    def update(self, record: UpstreamRecord, now: float) -> None:
+        """Take a newer record of the same incarnation."""
+        self._record = record
+        self._cold_until = now + record.cold_left_s
+        self.service = record.service
+        self.address = record.address
+        self.domain = record.failure_domain
+        self.gone_at = None
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the upstream is still cold."""
+        return now < self._cold_until
+
+    def is_distrusted(self, now: float) -> bool:
+        """Return whether openings went unanswered a short while ago."""
+        return now < self.distrusted_until
+
+    def note_service_time(self, seconds: float) -> None:
+        """Count the time that one flow took from its opening to its end."""
+        if not self.service_time_s:
+            self.service_time_s = seconds
+            return
+        self.service_time_s += ANSWER_WEIGHT * (seconds - self.service_time_s)
--- /dev/null
+++ b/idl/gossip.thrift
@@ -0,0 +1,36 @@
+namespace py egrethook.wire.gossip
+
+struct MemberInfo {
+  1: string host,
+  2: i32 port,
+  3: string failure_domain,
+  4: i64 incarnation,
+  5: i64 beat,
+  6: bool leaving,
+}
+
+struct Digest {
+  1: MemberInfo sender,
+  2: i64 revision,
+  3: i32 age_ms,
+  4: list<MemberInfo> members,
+}
+
+struct Item {
+  1: i32 kind,
+  2: string name,
+  3: i64 revision,
+  4: optional binary value,
+}
+
+struct Delta {
+  1: i64 after,
+  2: i64 revision,
+  3: i32 age_ms,
+  4: list<Item> items,
+}
+
+union GossipMessage {
+  1: Digest digest,
+  2: Delta delta,
+}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,8 +12,8 @@
     ManualClock,
     make_configuration,
 )
-from egrethook.platform.configuration import Configuration
-from egrethook.platform.documents import render, validate
+from egrethook.published.configuration import Configuration
+from egrethook.published.documents import render, validate
 from egrethook.types import Address, ExecutorId
 from egrethook.upstreams.admission import Report
 from egrethook.upstreams.executor import Executor
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -27,7 +27,7 @@
 from egrethook.emulator.builders import DOMAIN, make_configuration, make_vm
 from egrethook.emulator.schedules import ScheduleWorld
 from egrethook.exceptions import BadMessageError
-from egrethook.platform.configuration import Domain
+from egrethook.published.configuration import Domain
 from egrethook.types import ExecutorId, VmState
 
 
--- a/tests/test_border.py
+++ b/tests/test_border.py
@@ -18,7 +18,7 @@
 from egrethook.emulator.builders import FixedSource, make_configuration
 from egrethook.exceptions import BadMessageError, DocumentError, TokenError
 from egrethook.metrics import Metrics
-from egrethook.platform.documents import load_yaml, parse_value
+from egrethook.published.documents import load_yaml, parse_value
 from egrethook.tracing import Tracer
 from egrethook.upstreams import messages as upstream_messages
 from egrethook.upstreams.frames import Execute
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,8 +7,8 @@
 from helpers import endpoint_value, index_value, raw, services_value
 
 from egrethook.exceptions import DocumentError
-from egrethook.platform.configuration import ConfigurationStore, DocumentKey
-from egrethook.platform.documents import (
+from egrethook.published.configuration import ConfigurationStore, DocumentKey
+from egrethook.published.documents import (
     VALUE_LIMIT,
     load_yaml,
     parse_value,
--- a/tests/test_switched_off.py
+++ b/tests/test_switched_off.py
@@ -12,8 +12,8 @@
 from egrethook.callers.routing import Action, Route
 from egrethook.emulator.schedules import ScheduleWorld
 from egrethook.emulator.virtual import run_virtual
-from egrethook.platform.configuration import Configuration, ConfigurationStore
-from egrethook.platform.documents import parse_value
+from egrethook.published.configuration import Configuration, ConfigurationStore
+from egrethook.published.documents import parse_value
 from egrethook.types import UpstreamState
 from egrethook.upstreams.admission import Admission
 from egrethook.upstreams.replies import Replies
@@ -136,7 +136,7 @@
 
 
 def test_10_without_peers_a_balancer_cut_off_stays_behind(monkeypatch):
-    from egrethook.platform.reader import PlatformReader
+    from egrethook.published.reader import PlatformReader
 
     monkeypatch.setattr(PlatformReader, "hint", lambda self, revision: None)
     with pytest.raises((TimeoutError, ExceptionGroup, AssertionError)):
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -9,7 +9,7 @@
 
 from egrethook.balancers.peer_packets import Tried
 from egrethook.emulator.builders import make_configuration, make_endpoint
-from egrethook.platform.configuration import Limits
+from egrethook.published.configuration import Limits
 from egrethook.retries import RetryBudget
 from egrethook.upstreams.admission import FULL_PPM, Admission, Report, ShedReason
 from egrethook.upstreams.backlog import Backlog
