--- a/benchmarks/datapath.py
+++ b/benchmarks/datapath.py
@@ -12,6 +12,7 @@
 import anyio
 
 from benchmarks.figures import Figure
+from egrethook.addresses import Address
 from egrethook.callers.front import CallerFront
 from egrethook.callers.messages import CALLER_CODEC
 from egrethook.callers.packets import Data
@@ -21,7 +22,6 @@
 from egrethook.metrics import Metrics
 from egrethook.network import DatagramSocket
 from egrethook.tracing import Tracer
-from egrethook.types import Address
 
 PACKETS = 60_000
 BURST = 32
--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -10,6 +10,7 @@
 import anyio
 
 from benchmarks.figures import Figure
+from egrethook.addresses import Address
 from egrethook.callers.affinity import (
     FlowAffinity,
     FlowKey,
@@ -29,7 +30,7 @@
     Endpoint,
 )
 from egrethook.published.documents import render, validate
-from egrethook.types import Address, UpstreamState
+from egrethook.types import UpstreamState
 
 LAYOUT = LAYOUTS["cantabrico"]
 SERVICE = LAYOUT.services[0].name
--- a/benchmarks/roles.py
+++ b/benchmarks/roles.py
@@ -7,12 +7,13 @@
 from typing import Any
 
 from benchmarks.figures import Figure
+from egrethook.addresses import Address
 from egrethook.callers.messages import CALLER_CODEC
 from egrethook.callers.packets import Done, Open, Run
 from egrethook.callers.tokens import Token
 from egrethook.clock import MonotonicClock
 from egrethook.emulator.builders import SERVICE, FixedSource, make_configuration
-from egrethook.types import Address, ExecutorId
+from egrethook.types import ExecutorId
 from egrethook.upstreams.admission import Report
 from egrethook.upstreams.executor import Executor
 
--- a/egrethook/balancer.py
+++ b/egrethook/balancer.py
@@ -11,6 +11,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from egrethook.addresses import Address
 from egrethook.balancers.departure import Departure
 from egrethook.balancers.executors import ExecutorRouter
 from egrethook.balancers.hub import PeerHub
@@ -33,7 +34,7 @@
 from egrethook.published.reader import PlatformReader
 from egrethook.settings import BalancerSettings
 from egrethook.tracing import Tracer
-from egrethook.types import Address, ExecutorId, VmState, new_incarnation
+from egrethook.types import ExecutorId, VmState, new_incarnation
 from egrethook.upstreams.choice import WeightedRandomChooser
 from egrethook.upstreams.executor import Executor
 from egrethook.upstreams.links import UpstreamLinks
--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from egrethook.addresses import Address
 from egrethook.balancers.gossip_codec import Delta, Digest, decode, encode
 from egrethook.balancers.gossip_members import GossipMembers
 from egrethook.clock import Clock
@@ -15,7 +16,6 @@
 from egrethook.discovery.replica import Replica
 from egrethook.exceptions import BadMessageError
 from egrethook.logs import PartLog
-from egrethook.types import Address
 
 BEAT_S = 0.3
 """Time between two digests to the same partner, in seconds."""
--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -9,9 +9,9 @@
 from thrift.Thrift import TException
 from thrift.TSerialization import deserialize, serialize
 
+from egrethook.addresses import Address
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem
 from egrethook.exceptions import BadMessageError
-from egrethook.types import Address
 from egrethook.wire.gossip import ttypes
 
 DATAGRAM_LIMIT = 60_000
--- a/egrethook/balancers/gossip_members.py
+++ b/egrethook/balancers/gossip_members.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from zlib import crc32
 
+from egrethook.addresses import Address
 from egrethook.balancers.gossip_codec import MemberInfo
-from egrethook.types import Address
 
 MEMBER_TIMEOUT_S = 2.5
 """Time without a newer beat after which a member is taken to be gone, in seconds."""
--- a/egrethook/balancers/placement.py
+++ b/egrethook/balancers/placement.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from typing import Any, Protocol
 
+from egrethook.addresses import Address
 from egrethook.balancers.membership import MESH_LIMIT, Membership
 from egrethook.balancers.ownership import Ownership
 from egrethook.balancers.peer_packets import Relay, Tried
@@ -20,7 +21,6 @@
 )
 from egrethook.clock import Clock
 from egrethook.published.configuration import Configuration, Endpoint
-from egrethook.types import Address
 from egrethook.upstreams.choice import Chooser, compare_flow_owners, next_step
 from egrethook.upstreams.executor import Executor
 from egrethook.upstreams.interfaces import ConfigurationSource, PacketSender
--- a/egrethook/callers/affinity.py
+++ b/egrethook/callers/affinity.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from egrethook.addresses import Address
 from egrethook.balancers.ownership import rank
 from egrethook.published.configuration import Configuration, Endpoint
-from egrethook.types import Address
 
 TABLE_LIMIT = 100_000
 """Most flows in one balancer's table."""
--- a/egrethook/callers/client.py
+++ b/egrethook/callers/client.py
@@ -15,6 +15,7 @@
 from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
+from egrethook.addresses import Address
 from egrethook.callers import packets
 from egrethook.callers.attempts import GrantedToken, RequestAttempt
 from egrethook.callers.flows import Flow
@@ -25,7 +26,6 @@
 from egrethook.network import Network, SystemNetwork
 from egrethook.retries import RetryBudget
 from egrethook.tracing import Tracer
-from egrethook.types import Address
 from egrethook.verdicts import Outcome, Refusal, Verdict
 
 TOKEN_REUSE_S = 20.0
--- a/egrethook/callers/front.py
+++ b/egrethook/callers/front.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from typing import Any, Protocol
 
+from egrethook.addresses import Address
 from egrethook.callers.messages import CALLER_CODEC, read_flow_head
 from egrethook.callers.packets import (
     Cancel,
@@ -25,7 +26,6 @@
 from egrethook.network import Datagrams
 from egrethook.published.configuration import Configuration
 from egrethook.tracing import Tracer
-from egrethook.types import Address
 from egrethook.upstreams.interfaces import ConfigurationSource
 from egrethook.wire.callers.ttypes import FlowHead
 
--- a/egrethook/callers/port.py
+++ b/egrethook/callers/port.py
@@ -4,8 +4,8 @@
 
 from typing import Any, Protocol
 
+from egrethook.addresses import Address
 from egrethook.clock import Clock
-from egrethook.types import Address
 
 
 class CallerPort(Protocol):
--- a/egrethook/callers/routing.py
+++ b/egrethook/callers/routing.py
@@ -5,9 +5,9 @@
 import enum
 from typing import NamedTuple
 
+from egrethook.addresses import Address
 from egrethook.callers.tokens import Token
 from egrethook.published.configuration import Configuration, Endpoint
-from egrethook.types import Address
 from egrethook.verdicts import Refusal
 
 
--- a/egrethook/callers/tokens.py
+++ b/egrethook/callers/tokens.py
@@ -8,9 +8,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from egrethook.addresses import Address
 from egrethook.codec import StructCodec
 from egrethook.exceptions import BadMessageError, TokenError
-from egrethook.types import Address, ExecutorId, Int64, Name, Port
+from egrethook.types import ExecutorId, Int64, Name, Port
 from egrethook.wire.callers.ttypes import TokenBody
 
 KEY_ID_BYTES = 4
--- a/egrethook/daemon.py
+++ b/egrethook/daemon.py
@@ -8,13 +8,13 @@
 
 import anyio
 
+from egrethook.addresses import Address
 from egrethook.balancer import Balancer
 from egrethook.exceptions import EgrethookError, PlatformUnreachableError
 from egrethook.httpserver import bind_http, serve_http
 from egrethook.logs import PartLog
 from egrethook.operators.admin import AdminApi
 from egrethook.settings import BalancerSettings
-from egrethook.types import Address
 
 READY_POLL_S = 0.05
 """Time between two looks whether a configuration has arrived, in seconds."""
--- a/egrethook/datagrams.py
+++ b/egrethook/datagrams.py
@@ -7,8 +7,8 @@
 from types import TracebackType
 from typing import Self
 
+from egrethook.addresses import Address
 from egrethook.exceptions import AddressInUseError, SettingsError
-from egrethook.types import Address
 
 BATCH = 64
 """Most datagrams that are handled before other tasks run."""
--- a/egrethook/discovery/http_client.py
+++ b/egrethook/discovery/http_client.py
@@ -5,13 +5,13 @@
 import anyio
 from anyio.abc import ByteStream
 
+from egrethook.addresses import Address
 from egrethook.discovery.http_exchange import (
     HttpResponse,
     ResponseReader,
     request_bytes,
 )
 from egrethook.exceptions import SourceUnavailableError
-from egrethook.types import Address
 
 CONNECT_TIMEOUT_S = 0.6
 """Time in which a connection is made, in seconds."""
--- a/egrethook/discovery/http_exchange.py
+++ b/egrethook/discovery/http_exchange.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from typing import NamedTuple
-from urllib.parse import urlencode
 
 import httptools
 
 from egrethook.exceptions import SourceUnavailableError
 
+_PLAIN = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~/"
+)
+
 
 class HttpResponse(NamedTuple):
     """The answer to one call."""
@@ -19,10 +22,20 @@
 
 def request_bytes(host: str, path: str, **query: object) -> bytes:
     """Return a GET request as it goes onto a connection that is kept."""
-    target = f"{path}?{urlencode(query)}" if query else path
+    pairs = [f"{name}={_quoted(str(value))}" for name, value in query.items()]
+    target = f"{path}?{'&'.join(pairs)}" if pairs else path
     return f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
 
 
+def _quoted(text: str) -> str:
+    if _PLAIN.issuperset(text):
+        return text
+    # Rarely needed, and slow to load.
+    from urllib.parse import quote
+
+    return quote(text, safe="")
+
+
 class ResponseReader:
     """Collects one response from the bytes of a connection."""
 
--- a/egrethook/emulator/builders.py
+++ b/egrethook/emulator/builders.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
+from egrethook.addresses import Address
 from egrethook.callers.tokens import KeyRing
 from egrethook.published.configuration import (
     Configuration,
@@ -13,7 +14,7 @@
     Limits,
     Vm,
 )
-from egrethook.types import Address, UpstreamState, VmState
+from egrethook.types import UpstreamState, VmState
 
 SERVICE = "orders"
 DOMAIN = "domain-1"
--- a/egrethook/emulator/demo.py
+++ b/egrethook/emulator/demo.py
@@ -7,13 +7,14 @@
 
 import anyio
 
+from egrethook.addresses import Address
 from egrethook.callers.client import Caller
 from egrethook.emulator.layouts import LAYOUTS, EmulatedFleet
 from egrethook.emulator.load import Load, LoadGenerator
 from egrethook.emulator.processes import FleetProcesses
 from egrethook.emulator.report import RunReport
 from egrethook.emulator.runner import seeded
-from egrethook.types import Address, UpstreamState, VmState
+from egrethook.types import UpstreamState, VmState
 
 LOAD_SHARE = 0.5
 """Share of the upstreams' slots that the demonstration uses."""
--- a/egrethook/emulator/fabric.py
+++ b/egrethook/emulator/fabric.py
@@ -9,9 +9,10 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from egrethook.addresses import Address
 from egrethook.network import Datagrams
 from egrethook.published.configuration import ConfigurationStore
-from egrethook.types import Address, VmState
+from egrethook.types import VmState
 
 
 @dataclass
--- a/egrethook/emulator/runner.py
+++ b/egrethook/emulator/runner.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from egrethook.addresses import Address
 from egrethook.emulator.fabric import FabricStandIn
 from egrethook.emulator.platform import PlatformStandIn, control_app
 from egrethook.emulator.settings import (
@@ -20,7 +21,6 @@
 from egrethook.published.configuration import ConfigurationStore
 from egrethook.published.reader import PlatformReader
 from egrethook.tracing import Tracer
-from egrethook.types import Address
 
 
 async def run_stand_in(settings: StandInSettings) -> None:
--- a/egrethook/emulator/schedules.py
+++ b/egrethook/emulator/schedules.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from egrethook.addresses import Address
 from egrethook.balancers.executors import ExecutorRouter
 from egrethook.balancers.handover import Estate, rank_heirs, split
 from egrethook.balancers.membership import Membership
@@ -30,7 +31,7 @@
     ManualClock,
     make_configuration,
 )
-from egrethook.types import Address, ExecutorId
+from egrethook.types import ExecutorId
 from egrethook.upstreams.admission import Report, ShedReason
 from egrethook.upstreams.choice import WeightedRandomChooser
 from egrethook.upstreams.executor import Executor
--- a/egrethook/emulator/upstream.py
+++ b/egrethook/emulator/upstream.py
@@ -12,6 +12,7 @@
 from anyio.abc import ByteStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from egrethook.addresses import Address
 from egrethook.callers.messages import CALLER_CODEC
 from egrethook.callers.packets import CHUNK_BYTES, Close, Data, Reply, Reset
 from egrethook.callers.tokens import Token, read_unverified
@@ -19,7 +20,6 @@
 from egrethook.network import Datagrams, DatagramSocket
 from egrethook.published.documents import EndpointModel
 from egrethook.tracing import Tracer
-from egrethook.types import Address
 from egrethook.upstreams import frames
 from egrethook.upstreams.admission import ShedReason
 from egrethook.upstreams.messages import encode_frame, read_frame
--- a/egrethook/emulator/virtual.py
+++ b/egrethook/emulator/virtual.py
@@ -11,6 +11,7 @@
 import anyio.lowlevel
 from anyio.abc import TaskGroup
 
+from egrethook.addresses import Address
 from egrethook.balancer import Balancer
 from egrethook.callers.client import Caller
 from egrethook.emulator.fabric import FabricStandIn
@@ -25,7 +26,7 @@
 from egrethook.published.reader import PlatformReader
 from egrethook.settings import BalancerSettings
 from egrethook.tracing import Tracer
-from egrethook.types import Address, UpstreamState, VmState
+from egrethook.types import UpstreamState, VmState
 
 POLL_S = 0.02
 """Time between two looks at a condition, in virtual seconds."""
--- a/egrethook/emulator/virtualnet.py
+++ b/egrethook/emulator/virtualnet.py
@@ -14,7 +14,7 @@
 from anyio.abc import ByteStream, TaskGroup
 from starlette.applications import Starlette
 
-from egrethook.types import Address
+from egrethook.addresses import Address
 
 LOCAL_DELAY_S = 0.0002
 """One-way delay inside a failure domain, in seconds."""
--- a/egrethook/exceptions.py
+++ b/egrethook/exceptions.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import ClassVar
+from typing import TYPE_CHECKING, ClassVar
 
-from egrethook.verdicts import Outcome
+if TYPE_CHECKING:
+    from egrethook.verdicts import Outcome
 
 
 class EgrethookError(Exception):
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import random
-import time
+import socket
 from collections.abc import Sequence
-from ipaddress import IPv4Address
 from types import TracebackType
 from typing import Self
 
+from egrethook.addresses import Address
 from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.callers.segments import Endpoint, SegmentCodec
 from egrethook.clock import MonotonicClock
@@ -17,7 +16,6 @@
 from egrethook.discovery.replica import Replica
 from egrethook.discovery.view import ForwardingView
 from egrethook.forwarder_settings import ForwarderSettings
-from egrethook.types import Address
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import LeastFlowsSelector
 
@@ -25,9 +23,9 @@
 class CallerPort:
     """Sends packets from the socket that callers' packets arrive at."""
 
-    def __init__(self, socket: DatagramSocket) -> None:
-        self._socket = socket
-        self._port = socket.address.port
+    def __init__(self, datagrams: DatagramSocket) -> None:
+        self._socket = datagrams
+        self._port = datagrams.address.port
 
     def to_upstream(self, address: tuple[str, int], packet: bytes) -> None:
         """Send a packet to an upstream."""
@@ -35,7 +33,9 @@
 
     def to_caller(self, caller: Endpoint, packet: bytes) -> None:
         """Send a packet to a caller, whose packets use this socket's port too."""
-        self._socket.send((str(IPv4Address(caller[0])), self._port), packet)
+        self._socket.send(
+            (socket.inet_ntoa(caller[0].to_bytes(4, "big")), self._port), packet
+        )
 
 
 class Forwarder:
@@ -61,7 +61,6 @@
     ) -> None:
         self._settings = settings
         self._clock = MonotonicClock()
-        self._rng = random.Random()
         self._socket = DatagramSocket(Address.parse(settings.packets))
         self._view = ForwardingView(decoder, settings.flow_life_s)
         self._listeners: list = []
@@ -70,9 +69,7 @@
             self._view,
             codec,
             CallerPort(self._socket),
-            LeastFlowsSelector(
-                settings.failure_domain, settings.flow_limit, self._rng
-            ),
+            LeastFlowsSelector(settings.failure_domain, settings.flow_limit),
             PassiveHealth(),
         )
         self._first_forwarded_s: float | None = None
@@ -87,11 +84,6 @@
         """The clock of this process."""
         return self._clock
 
-    @property
-    def rng(self) -> random.Random:
-        """The source of random choices."""
-        return self._rng
-
     @property
     def socket(self) -> DatagramSocket:
         """The socket for callers' packets."""
--- a/egrethook/forwarder_settings.py
+++ b/egrethook/forwarder_settings.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from egrethook.addresses import Address
 from egrethook.exceptions import SettingsError
-from egrethook.types import Address
 
 PortText = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
 
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 import secrets
 import signal
 import time
 
 import anyio
 
+from egrethook.addresses import Address
 from egrethook.balancers.gossip import Gossip
 from egrethook.balancers.gossip_codec import MemberInfo
 from egrethook.balancers.gossip_members import GossipMembers
@@ -17,7 +19,6 @@
 from egrethook.forwarder import Forwarder
 from egrethook.logs import PartLog
 from egrethook.operators.probes import ProbeAnswer, serve_probes
-from egrethook.types import Address
 
 TICK_S = 0.01
 """Time between two looks at what is due, in seconds."""
@@ -51,25 +52,26 @@
         self._settings = settings
         self._clock = forwarder.clock
         self._leaving = False
+        rng = random.Random()
         own = MemberInfo(
             Address.parse(settings.peers),
             settings.failure_domain,
             secrets.randbits(62),
             0,
         )
-        self._members = GossipMembers(own, settings.seeds, forwarder.rng)
+        self._members = GossipMembers(own, settings.seeds, rng)
         self._peer_socket = DatagramSocket(own.address)
         self._gossip = Gossip(
             self._peer_socket,
             self._members,
             forwarder.replica,
             self._clock,
-            forwarder.rng,
+            rng,
             self._awake,
         )
         forwarder.on_changes(self._gossip.pass_on)
         self._follower = RegistryFollower(
-            source, forwarder.replica, self._must_read, self._clock, forwarder.rng
+            source, forwarder.replica, self._must_read, self._clock, rng
         )
         self._suspended_s = _suspended_s()
 
@@ -93,7 +95,9 @@
             await anyio.sleep(self._settings.leave_s)
             tasks.cancel_scope.cancel()
         self._peer_socket.close()
-        _LOG.info("the process stops.", open_flows=self._forwarder.dispatcher.open_flows)
+        _LOG.info(
+            "the process stops.", open_flows=self._forwarder.dispatcher.open_flows
+        )
 
     async def _wait_for_leave(self) -> None:
         with anyio.open_signal_receiver(
--- a/egrethook/httpserver.py
+++ b/egrethook/httpserver.py
@@ -10,8 +10,8 @@
 import uvicorn
 from starlette.applications import Starlette
 
+from egrethook.addresses import Address
 from egrethook.exceptions import AddressInUseError
-from egrethook.types import Address
 
 STOP_TIMEOUT_S = 1
 """Longest wait for open requests when the server stops, in seconds."""
--- a/egrethook/network.py
+++ b/egrethook/network.py
@@ -8,8 +8,8 @@
 import httpx
 from anyio.abc import ByteStream
 
+from egrethook.addresses import Address
 from egrethook.datagrams import DatagramSocket
-from egrethook.types import Address
 
 
 class Datagrams(Protocol):
--- a/egrethook/operators/client.py
+++ b/egrethook/operators/client.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable
 
+from egrethook.addresses import Address
 from egrethook.callers.client import Caller
 from egrethook.exceptions import SettingsError
-from egrethook.types import Address
 
 
 async def call_service(
--- a/egrethook/operators/probes.py
+++ b/egrethook/operators/probes.py
@@ -9,7 +9,7 @@
 import httptools
 from anyio.abc import ByteStream
 
-from egrethook.types import Address
+from egrethook.addresses import Address
 
 IDLE_S = 60.0
 """Time without a request after which a connection is closed, in seconds."""
--- a/egrethook/platform/daemon.py
+++ b/egrethook/platform/daemon.py
@@ -5,13 +5,13 @@
 import os
 import sys
 
+from egrethook.addresses import Address
 from egrethook.exceptions import EgrethookError
 from egrethook.forwarder import Forwarder
 from egrethook.forwarder_settings import load_forwarder_settings
 from egrethook.platform.packet_header import PacketHeader
 from egrethook.platform.store_client import StoreClient
 from egrethook.platform.store_messages import StoreDecoder
-from egrethook.types import Address
 
 SETTINGS_VARIABLE = "EGRETHOOK_CONFIG"
 """Environment variable that holds the path of the settings file."""
--- a/egrethook/platform/store_client.py
+++ b/egrethook/platform/store_client.py
@@ -2,24 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Any
-
-import msgspec
-
+from egrethook.addresses import Address
 from egrethook.discovery.http_client import HttpClient
-from egrethook.discovery.http_exchange import HttpResponse
-from egrethook.discovery.records import Changes, PublishedItem, Snapshot
-from egrethook.exceptions import HistoryLostError, SourceUnavailableError
-from egrethook.platform.store_messages import (
-    Event,
-    RangeBody,
-    WatchBody,
-    published_item,
+from egrethook.discovery.records import Changes, Snapshot
+from egrethook.platform.store_reading import (
+    RANGE_PATH,
+    WATCH_PATH,
+    RangeReading,
+    read_watch,
 )
-from egrethook.types import Address
-
-RANGE_PATH = "/kv-range"
-WATCH_PATH = "/kv-watch"
 
 CALL_TIMEOUT_S = 1.0
 """Time in which the store answers a call that does not wait, in seconds."""
@@ -27,15 +18,6 @@
 WATCH_SLACK_S = 0.5
 """Time beyond its wait in which a watch is answered, in seconds."""
 
-PAGE_LIMIT = 1_000
-"""Most pages of one reading."""
-
-_OK = 200
-_GONE = 410
-
-_RANGE = msgspec.json.Decoder(RangeBody)
-_WATCH = msgspec.json.Decoder(WatchBody)
-
 
 class StoreClient:
     """One connection to the store, for one call at a time."""
@@ -67,65 +49,8 @@
             after=after,
             waitMs=int(wait_s * 1000),
         )
-        body = _decode(_WATCH, response)
-        return Changes(after, max(after, body.current_rev), _items(body.events))
+        return read_watch(response, after)
 
     async def aclose(self) -> None:
         """Close the connection."""
         await self._http.aclose()
-
-
-class RangeReading:
-    """Collects the pages of one reading of all items."""
-
-    def __init__(self) -> None:
-        self._items: list[PublishedItem] = []
-        self._after = ""
-        self._revision: int | None = None
-        self._complete = False
-        self._pages = 0
-
-    @property
-    def complete(self) -> bool:
-        """Whether the last page has been taken."""
-        return self._complete
-
-    def query(self) -> dict[str, object]:
-        """Return the query of the next page."""
-        query: dict[str, object] = {"prefix": ""}
-        if self._after:
-            query["after"] = self._after
-        return query
-
-    def take(self, response: HttpResponse) -> None:
-        """Take one page."""
-        body = _decode(_RANGE, response)
-        if self._revision is None:
-            self._revision = body.current_rev
-        self._items += _items(body.items)
-        self._pages += 1
-        self._complete = not body.has_more or not body.items
-        if body.items:
-            self._after = body.items[-1].key
-        if self._pages > PAGE_LIMIT:
-            raise SourceUnavailableError("the store's pages do not end")
-
-    def snapshot(self) -> Snapshot:
-        """Return what was read, complete up to the first page's revision."""
-        return Snapshot(self._items, self._revision or 0)
-
-
-def _items(events: list[Event]) -> list[PublishedItem]:
-    items = (published_item(event) for event in events)
-    return [item for item in items if item is not None]
-
-
-def _decode(decoder: msgspec.json.Decoder[Any], response: HttpResponse) -> Any:
-    if response.status == _GONE:
-        raise HistoryLostError("the store has dropped this history")
-    if response.status != _OK:
-        raise SourceUnavailableError(f"the store answered {response.status}")
-    try:
-        return decoder.decode(response.body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise SourceUnavailableError(f"the store's answer: {error}") from None
--- a/egrethook/platform/store_messages.py
+++ b/egrethook/platform/store_messages.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import base64
-import re
+from binascii import Error as Base64Error
+from binascii import a2b_base64
 from typing import Any
 
 import msgspec
@@ -24,6 +24,8 @@
 UPSTREAM_PREFIX = "servers/"
 EVACUATION_PREFIX = "op/evacuate/"
 
+_HEX = frozenset("0123456789abcdefABCDEF")
+
 _PHASES = {"ready": UpstreamPhase.READY, "draining": UpstreamPhase.DRAINING}
 
 
@@ -116,8 +118,8 @@
     if event.deleted or event.value is None:
         return None
     try:
-        return base64.b64decode(event.value)
-    except ValueError:
+        return a2b_base64(event.value)
+    except (Base64Error, ValueError):
         return event.value.encode()
 
 
@@ -133,7 +135,7 @@
             If a field is missing, of another type or of an unknown word.
         """
         entry: _Server = _decode(_SERVER, value)
-        digits = re.sub(r"[^0-9a-fA-F]", "", name.rpartition("-")[2])
+        digits = "".join(one for one in name.rpartition("-")[2] if one in _HEX)
         host, _, port = entry.address.rpartition(":")
         phase = _PHASES.get(entry.state)
         if phase is None or not host or not port.isdigit() or not digits:
@@ -180,7 +182,9 @@
     if entry.service is not None:
         services = (WeightedService(entry.service, 1),)
     else:
-        services = tuple(WeightedService(one.service, one.weight) for one in entry.split)
+        services = tuple(
+            WeightedService(one.service, one.weight) for one in entry.split
+        )
     try:
         octets = [int(part) for part in entry.host.split(".")]
         address = int.from_bytes(bytes(octets), "big"), int(entry.prefix.strip("/"))
--- a/egrethook/published/configuration.py
+++ b/egrethook/published/configuration.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
+from egrethook.addresses import Address
 from egrethook.callers.tokens import KeyRing
 from egrethook.exceptions import DocumentError
 from egrethook.published.documents import (
@@ -17,7 +18,7 @@
     VmsDocument,
     parse_value,
 )
-from egrethook.types import Address, UpstreamState, VmState
+from egrethook.types import UpstreamState, VmState
 
 
 @dataclass(frozen=True, slots=True)
--- a/egrethook/published/documents.py
+++ b/egrethook/published/documents.py
@@ -16,8 +16,9 @@
     model_validator,
 )
 
+from egrethook.addresses import Address
 from egrethook.exceptions import DocumentError
-from egrethook.types import Address, Name, UpstreamState, VmState
+from egrethook.types import Name, UpstreamState, VmState
 
 VALUE_LIMIT = 1_000_000
 """Longest value that the platform holds, in bytes."""
--- a/egrethook/settings.py
+++ b/egrethook/settings.py
@@ -7,9 +7,10 @@
 
 from pydantic import Field, ValidationError, field_validator
 
+from egrethook.addresses import Address
 from egrethook.exceptions import DocumentError, SettingsError
 from egrethook.published.documents import AddressText, Model, describe, load_yaml
-from egrethook.types import Address, Name
+from egrethook.types import Name
 
 Secret = Annotated[str, Field(min_length=16, max_length=256)]
 
--- a/egrethook/types.py
+++ b/egrethook/types.py
@@ -5,7 +5,7 @@
 import enum
 import secrets
 from dataclasses import dataclass
-from typing import Annotated, NamedTuple
+from typing import Annotated
 
 from annotated_types import Ge, Le, MaxLen, MinLen
 
@@ -19,32 +19,6 @@
 Milliseconds = Annotated[int, Ge(0), Le(2**31 - 1)]
 
 
-class Address(NamedTuple):
-    """An IP address and a port, in the form that sockets take."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-    @classmethod
-    def parse(cls, text: str) -> Address:
-        """Read ``host:port``.
-
-        Raises
-        ------
-        ValueError
-            If the text has no port or the port is out of range.
-        """
-        host, colon, port = text.rpartition(":")
-        if not colon or not host or not port.isdigit():
-            raise ValueError(f"{text!r} is not host:port")
-        if not 0 < int(port) < 65536:
-            raise ValueError(f"{text!r} has a port outside 1 to 65535")
-        return cls(host, int(port))
-
-
 @dataclass(frozen=True)
 class ExecutorId:
     """A balancer and the random incarnation made at its start."""
--- a/egrethook/upstreams/executor.py
+++ b/egrethook/upstreams/executor.py
@@ -6,12 +6,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from egrethook.addresses import Address
 from egrethook.callers.packets import Cancel, Done, Fetch, Run
 from egrethook.callers.tokens import Token, new_serial
 from egrethook.clock import Clock
 from egrethook.published.configuration import Limits
 from egrethook.retries import RetryBudget
-from egrethook.types import Address, ExecutorId
+from egrethook.types import ExecutorId
 from egrethook.upstreams.admission import Report, ShedReason
 from egrethook.upstreams.interfaces import ConfigurationSource, Onward, PacketSender
 from egrethook.upstreams.issuer import TokenIssuer
--- a/egrethook/upstreams/interfaces.py
+++ b/egrethook/upstreams/interfaces.py
@@ -4,9 +4,9 @@
 
 from typing import Any, Protocol
 
+from egrethook.addresses import Address
 from egrethook.callers.packets import Run
 from egrethook.published.configuration import Configuration
-from egrethook.types import Address
 
 
 class RequestLink(Protocol):
--- a/egrethook/upstreams/issuer.py
+++ b/egrethook/upstreams/issuer.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from egrethook.addresses import Address
 from egrethook.callers.packets import Grant, Granted, Open, Opened
 from egrethook.callers.tokens import Token, new_serial
 from egrethook.clock import Clock
 from egrethook.published.configuration import Endpoint
-from egrethook.types import Address, ExecutorId
+from egrethook.types import ExecutorId
 from egrethook.upstreams.interfaces import ConfigurationSource, PacketSender
 from egrethook.upstreams.pool import OwnedUpstream, UpstreamPool
 from egrethook.upstreams.rights import TOKEN_LIFE_S, Rights
--- a/egrethook/upstreams/records.py
+++ b/egrethook/upstreams/records.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from egrethook.addresses import Address
 from egrethook.callers.packets import ExecutorPacket, Run
-from egrethook.types import Address
 from egrethook.verdicts import Outcome
 
 LINGER_S = 5.0
--- a/egrethook/upstreams/replies.py
+++ b/egrethook/upstreams/replies.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
+from egrethook.addresses import Address
 from egrethook.callers.packets import Accepted, Chunk, Refused, Run
-from egrethook.types import Address
 from egrethook.upstreams.interfaces import PacketSender
 from egrethook.upstreams.records import Record, RecordState
 from egrethook.verdicts import Refusal, Verdict
--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -123,5 +123,3 @@
             if self._by_token.get(upstream.token) is upstream:
                 services[upstream.service].append(upstream)
         self._by_service = dict(services)
-
-
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
@@ -34,14 +33,12 @@
         The failure domain of this balancer.
     flow_limit : int
         Most open flows of one upstream through this balancer.
-    rng : random.Random
-        Breaks ties.
     """
 
-    def __init__(self, domain: str, flow_limit: int, rng: random.Random) -> None:
+    def __init__(self, domain: str, flow_limit: int) -> None:
         self._domain = domain
         self._flow_limit = flow_limit
-        self._rng = rng
+        self._turn = 0
 
     def choose(
         self, candidates: Iterable[Upstream], tried: Collection[Upstream], now: float
@@ -53,8 +50,10 @@
         roomy = [one for one in pool if one.open_flows < self._flow_limit]
         if not roomy:
             return None
-        cost = self._cost(pool)
-        return min(roomy, key=lambda one: (cost(one), self._rng.random()))
+        # Equal candidates take turns.
+        self._turn += 1
+        start = self._turn % len(roomy)
+        return min(roomy[start:] + roomy[:start], key=self._cost(pool))
 
     def _cost(self, pool: list[Upstream]) -> Callable[[Upstream], float]:
         """Return the function by which candidates are compared."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from egrethook.addresses import Address
 from egrethook.callers.packets import Refused, Run
 from egrethook.callers.tokens import Token
 from egrethook.emulator.builders import (
@@ -14,7 +15,7 @@
 )
 from egrethook.published.configuration import Configuration
 from egrethook.published.documents import render, validate
-from egrethook.types import Address, ExecutorId
+from egrethook.types import ExecutorId
 from egrethook.upstreams.admission import Report
 from egrethook.upstreams.executor import Executor
 from egrethook.verdicts import Verdict
--- a/tests/process_proofs.py
+++ b/tests/process_proofs.py
@@ -4,12 +4,13 @@
 
 import anyio
 
+from egrethook.addresses import Address
 from egrethook.callers.client import Caller
 from egrethook.emulator.layouts import LAYOUTS, EmulatedFleet
 from egrethook.emulator.load import Load, LoadGenerator
 from egrethook.emulator.processes import FleetProcesses
 from egrethook.emulator.report import RunReport
-from egrethook.types import Address, VmState
+from egrethook.types import VmState
 
 
 async def fail_processes() -> RunReport:
