Forward before the event loop's libraries are loaded

Cause: after the final fault openings found nobody for more than a second, since the event loop, logs and codecs were imported before the first packet; openings that came meanwhile were refused for want of a route.

Change: a poll loop reads the registry once and forwards; a finder on sys.meta_path serves packets between two modules while the libraries load. Openings wait for the first view. A waiting queue serves first what can still be on time, and is bounded by Little's law in place of a fixed 8.

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -155,7 +155,7 @@
         self._send(partner, Delta(changes, age_s))
 
     def _ask(self, partner: Address, now: float) -> None:
-        """Show a better informed member what is held here, so that it sends the rest."""
+        """Show a better informed member what is held here; it sends the rest."""
         if now - self._asked_at < PULL_INTERVAL_S:
             return
         self._asked_at = now
--- a/egrethook/balancers/gossip_members.py
+++ b/egrethook/balancers/gossip_members.py
@@ -76,15 +76,18 @@
                 continue
             known = self._known.get(info.address)
             if known is None or known.info.incarnation != info.incarnation:
-                if known is not None and now - known.heard_at < MEMBER_TIMEOUT_S / 2:
-                    # An older incarnation may still be told of for a while.
-                    if info.beat >= known.info.beat:
-                        continue
-                self._known[info.address] = _Known(info, now)
+                if not self._outdated(info, known, now):
+                    self._known[info.address] = _Known(info, now)
             elif info.beat > known.info.beat:
                 known.info = info
                 known.heard_at = now
 
+    def _outdated(self, info: MemberInfo, known: _Known | None, now: float) -> bool:
+        """Return whether others may still be telling of an older incarnation."""
+        if known is None or now - known.heard_at >= MEMBER_TIMEOUT_S / 2:
+            return False
+        return info.beat >= known.info.beat
+
     def live(self, now: float) -> list[MemberInfo]:
         """Return the members whose beats have moved lately."""
         return [
--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -4,10 +4,11 @@
 
 import enum
 from collections import OrderedDict
-from dataclasses import dataclass, field
-from heapq import heappop, heappush
+
+from msgspec import Struct
 
 from egrethook.callers.segments import PacketPort, Segment, SegmentCodec
+from egrethook.callers.waiting import Waiting, WaitingQueue
 from egrethook.discovery.records import Route
 from egrethook.discovery.view import ForwardingView, pick_service
 from egrethook.logs import PartLog
@@ -15,29 +16,35 @@
 from egrethook.upstreams.selection import UpstreamSelector
 from egrethook.upstreams.upstream import Upstream
 
-RESEND_S = 0.045
+RESEND_S = (0.045, 0.15)
 """Time without an answer after which an opening goes to a second upstream, in seconds.
 
-Well above a round trip between failure domains, well below a caller's first copy.
+Well above a round trip between failure domains, below a caller's first copy.
 """
 
+ANSWER_FACTOR = 3.0
+"""The wait for an answer, in mean times of an answer."""
+
+ANSWER_WEIGHT = 0.1
+"""Weight of the newest answer in the mean time of an answer."""
+
 RESENDS = 3
 """Most upstreams that one opening is sent to."""
 
 OPENING_LIFE_S = 1.4
 """Time after which a caller gives up an opening, in seconds."""
 
-QUEUE_WAIT_S = 0.9
-"""Longest wait for room that is worth while, in seconds."""
+SERVICE_S = 0.05
+"""Time that an upstream usually needs once it has an opening, in seconds."""
 
-QUEUE_FLOOR = 8
-"""Openings that may always wait, before the rate of a service is known."""
+COPY_DELAYS_S = (0.0, 0.2, 0.6)
+"""When a caller sends its opening and the copies of it, in seconds."""
 
 IDLE_S = 3.0
 """Time without packets after which a flow is no longer counted, in seconds."""
 
-RATE_WINDOW_S = 1.0
-"""Window over which a service's finished flows are counted, in seconds."""
+UNDECIDED_LIMIT = 2_000
+"""Most openings that wait for a fresh view."""
 
 _LOG = PartLog("flows")
 
@@ -50,8 +57,7 @@
     OPEN = "open"
 
 
-@dataclass(slots=True)
-class Flow:
+class Flow(Struct):
     """One flow whose opening passed through this balancer."""
 
     segment: Segment
@@ -62,11 +68,16 @@
     state: FlowState = FlowState.WAITING
     sent_at: float = 0.0
     seen_at: float = 0.0
-    tried: list[Upstream] = field(default_factory=list)
+    tried: list[Upstream] = []
+
+    @property
+    def first_sent_at(self) -> float:
+        """When the caller sent its first opening, in seconds."""
+        copies = min(self.segment.copies, len(COPY_DELAYS_S) - 1)
+        return self.since - COPY_DELAYS_S[copies]
 
 
-@dataclass(slots=True)
-class Counts:
+class Counts(Struct):
     """What the dispatcher has done, for the metrics."""
 
     packets: int = 0
@@ -74,32 +85,8 @@
     answered: int = 0
     resent: int = 0
     waited: int = 0
-    reset: dict[str, int] = field(default_factory=dict)
-    dropped: dict[str, int] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class _ServiceQueue:
-    """Openings of one service that wait for room, the most urgent first."""
-
-    heap: list[tuple[int, float, bytes]] = field(default_factory=list)
-    finished: int = 0
-    window_start: float = 0.0
-    rate_per_s: float = 0.0
-
-    def note_finished(self, now: float) -> None:
-        """Count a flow that has ended."""
-        self.finished += 1
-        elapsed = now - self.window_start
-        if elapsed >= RATE_WINDOW_S:
-            self.rate_per_s = self.finished / elapsed
-            self.finished = 0
-            self.window_start = now
-
-    @property
-    def capacity(self) -> float:
-        """How many may wait so that each is served while it is worth while."""
-        return max(QUEUE_FLOOR, self.rate_per_s * QUEUE_WAIT_S)
+    reset: dict[str, int] = {}
+    dropped: dict[str, int] = {}
 
 
 class FlowDispatcher:
@@ -139,10 +126,12 @@
         self._health = health
         self._flows: dict[bytes, Flow] = {}
         self._unanswered: OrderedDict[bytes, float] = OrderedDict()
-        self._queues: dict[str, _ServiceQueue] = {}
+        self._queues: dict[str, WaitingQueue] = {}
         self._counts = Counts()
+        self._undecided: dict[bytes, tuple[Segment, bytes, float]] = {}
+        self._answer_s = 0.0
         self._swept_at = 0.0
-        self._trusted = True
+        self._trusted = False
 
     @property
     def counts(self) -> Counts:
@@ -157,7 +146,7 @@
     @property
     def waiting(self) -> int:
         """Openings that wait for room."""
-        return sum(len(queue.heap) for queue in self._queues.values())
+        return sum(len(queue) for queue in self._queues.values())
 
     @property
     def trusts_view(self) -> bool:
@@ -189,9 +178,9 @@
                 break
             del unanswered[flow_key]
             self._resend(flow_key, now)
-        for service, queue in self._queues.items():
-            if queue.heap:
-                self._serve_queue(service, queue, now)
+        for queue in self._queues.values():
+            if queue:
+                self._serve_queue(queue, now)
         if now - self._swept_at > 0.5:
             self._swept_at = now
             self._sweep(now)
@@ -209,11 +198,11 @@
         if flow is not None:
             self._handle_copy(flow, segment, datagram, now)
             return
-        self._counts.openings += 1
         route = self._view.route(segment.target)
         if route is None:
-            self._refuse_unknown_route(segment)
+            self._hold_unknown_route(segment, datagram, now)
             return
+        self._counts.openings += 1
         service = pick_service(route, segment.flow)
         flow = Flow(segment, datagram, route, service, now)
         if self._send_opening(flow, now):
@@ -221,12 +210,26 @@
             return
         self._enqueue(flow, now)
 
-    def _refuse_unknown_route(self, segment: Segment) -> None:
+    def _hold_unknown_route(
+        self, segment: Segment, datagram: bytes, now: float
+    ) -> None:
+        """Refuse an opening without a route, or keep it until the view is fresh."""
         if self._trusted:
-            self._reset(segment, "no route", revision=self._version())
+            self._reset(segment, "no route", version=self._version())
+        elif len(self._undecided) < UNDECIDED_LIMIT:
+            self._undecided[segment.flow] = segment, datagram, now
         else:
             self._drop("no route, view not fresh")
 
+    def view_changed(self, now: float) -> None:
+        """Decide the openings that waited for a fresh view."""
+        undecided, self._undecided = self._undecided, {}
+        for segment, datagram, since in undecided.values():
+            if now - since > OPENING_LIFE_S:
+                self._drop("waited too long")
+            else:
+                self._handle_opening(segment, datagram, now)
+
     def _handle_copy(
         self, flow: Flow, segment: Segment, datagram: bytes, now: float
     ) -> None:
@@ -249,11 +252,16 @@
         flow.tried.append(upstream)
         flow.state = FlowState.SENT
         flow.sent_at = flow.seen_at = now
-        self._unanswered[flow.segment.flow] = now + RESEND_S
+        self._unanswered[flow.segment.flow] = now + self._resend_s()
         self._unanswered.move_to_end(flow.segment.flow)
         self._forward(upstream, flow.datagram)
         return True
 
+    def _resend_s(self) -> float:
+        """Return how long to wait for an answer: longer while this VM is busy."""
+        shortest_s, longest_s = RESEND_S
+        return min(longest_s, max(shortest_s, ANSWER_FACTOR * self._answer_s))
+
     def _resend(self, flow_key: bytes, now: float) -> None:
         """Send an opening without an answer to another upstream as well."""
         flow = self._flows.get(flow_key)
@@ -278,36 +286,37 @@
     # Waiting -------------------------------------------------------------------
 
     def _enqueue(self, flow: Flow, now: float) -> None:
-        queue = self._queues.setdefault(flow.service, _ServiceQueue(window_start=now))
-        if len(queue.heap) >= queue.capacity:
+        queue = self._queues.setdefault(flow.service, WaitingQueue())
+        candidates = self._view.candidates(flow.service)
+        open_flows = sum(one.open_flows for one in candidates)
+        flow_s = max((one.service_time_s for one in candidates), default=0.0)
+        if queue.is_full(open_flows, max(flow_s, SERVICE_S)):
             self._reset(
                 flow.segment,
                 "too many wait",
-                waiting=len(queue.heap),
-                finished_per_s=round(queue.rate_per_s, 1),
+                waiting=len(queue),
+                open_flows=open_flows,
+                flow_ms=round(flow_s * 1000),
             )
             return
         self._counts.waited += 1
         flow.seen_at = now
         self._flows[flow.segment.flow] = flow
-        heappush(queue.heap, (flow.route.priority, now, flow.segment.flow))
+        on_time_until = flow.first_sent_at + flow.route.objective_s - SERVICE_S
+        queue.push(Waiting(flow.route.priority, now, on_time_until, flow.segment.flow))
 
-    def _serve_queue(self, service: str, queue: _ServiceQueue, now: float) -> None:
+    def _serve_queue(self, queue: WaitingQueue, now: float) -> None:
         """Send waiting openings while there is room."""
-        while queue.heap:
-            _, since, flow_key = queue.heap[0]
-            flow = self._flows.get(flow_key)
+        for waiting in queue.in_order(now):
+            flow = self._flows.get(waiting.flow)
             if flow is None or flow.state is not FlowState.WAITING:
-                heappop(queue.heap)
                 continue
-            if now - since > OPENING_LIFE_S:
-                heappop(queue.heap)
-                del self._flows[flow_key]
+            if now - waiting.since > OPENING_LIFE_S:
+                del self._flows[waiting.flow]
                 self._drop("waited too long")
                 continue
             if not self._send_opening(flow, now):
                 return
-            heappop(queue.heap)
 
     # Open flows ----------------------------------------------------------------
 
@@ -335,17 +344,16 @@
         flow.tried = [upstream]
         flow.state = FlowState.OPEN
         self._health.note_answer(upstream, now)
+        self._answer_s += ANSWER_WEIGHT * (now - flow.sent_at - self._answer_s)
         flow.sent_at = now
 
     def _note_end(self, flow: Flow, segment: Segment, now: float) -> None:
         if flow.state is FlowState.OPEN and segment.closes:
             flow.tried[0].note_service_time(now - flow.sent_at)
         queue = self._queues.get(flow.service)
-        if queue is not None:
-            queue.note_finished(now)
         self._forget(flow)
-        if queue is not None and queue.heap:
-            self._serve_queue(flow.service, queue, now)
+        if queue:
+            self._serve_queue(queue, now)
 
     def _forget(self, flow: Flow) -> None:
         del self._flows[flow.segment.flow]
--- a/egrethook/discovery/records.py
+++ b/egrethook/discovery/records.py
@@ -1,12 +1,17 @@
-"""What a service registry publishes, free of its encoding."""
+"""What a service registry publishes, free of its encoding.
+
+Records are msgspec structs: data classes whose definition costs a starting
+process next to nothing.
+"""
 
 from __future__ import annotations
 
 import enum
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
+from msgspec import Struct
+
 
 class ItemKind(enum.IntEnum):
     """What a published item describes."""
@@ -50,8 +55,7 @@
     DRAINING = "draining"
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamRecord:
+class UpstreamRecord(Struct, frozen=True):
     """An upstream as it registers itself.
 
     Parameters
@@ -84,8 +88,7 @@
     weight: int
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """Where new flows to one address and port go.
 
     Parameters
@@ -96,6 +99,8 @@
         0 is the highest.
     timeout_s : float
         How long the requests inside may take, in seconds.
+    objective_s : float
+        The latency objective of the requests inside, in seconds.
     """
 
     name: str
@@ -103,10 +108,10 @@
     services: tuple[WeightedService, ...]
     priority: int
     timeout_s: float
+    objective_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ColdLimit:
+class ColdLimit(Struct, frozen=True):
     """What a cold upstream of a service bears.
 
     Parameters
@@ -121,8 +126,7 @@
     rate_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTable:
+class RouteTable(Struct, frozen=True):
     """One version of the operators' configuration."""
 
     version: int
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Sequence
 from types import TracebackType
-from typing import Self
+from typing import Protocol, Self
 
 from egrethook.addresses import Address
 from egrethook.callers.flow_dispatch import FlowDispatcher
@@ -16,9 +16,23 @@
 from egrethook.discovery.replica import Replica
 from egrethook.discovery.view import ForwardingView
 from egrethook.forwarder_settings import ForwarderSettings
+from egrethook.logs import PartLog
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import LeastFlowsSelector
 
+_LOG = PartLog("forwarder")
+
+TRUST_S = 2.5
+"""Age up to which a view may refuse unknown routes, in seconds."""
+
+
+class ChangeListener(Protocol):
+    """Is told of each change of the replica."""
+
+    def __call__(self, items: Sequence[PublishedItem], before: int) -> None:
+        """Take the items that changed and the revision held before."""
+        ...
+
 
 class CallerPort:
     """Sends packets from the socket that callers' packets arrive at."""
@@ -63,7 +77,7 @@
         self._clock = MonotonicClock()
         self._socket = DatagramSocket(Address.parse(settings.packets))
         self._view = ForwardingView(decoder, settings.flow_life_s)
-        self._listeners: list = []
+        self._listeners: list[ChangeListener] = []
         self._replica = Replica(self._on_changes)
         self._dispatcher = FlowDispatcher(
             self._view,
@@ -72,7 +86,7 @@
             LeastFlowsSelector(settings.failure_domain, settings.flow_limit),
             PassiveHealth(),
         )
-        self._first_forwarded_s: float | None = None
+        self._has_forwarded = False
 
     @property
     def settings(self) -> ForwarderSettings:
@@ -117,6 +131,8 @@
             handle = self._dispatcher.handle
             for datagram, _ in batch:
                 handle(datagram, now)
+            if batch and not self._has_forwarded:
+                self._note_first_packet()
             if len(batch) < 64:
                 break
         self._dispatcher.tick(self._clock.now())
@@ -125,17 +141,34 @@
         """Drop what has expired, and note how far the view can be trusted."""
         now = self._clock.now()
         self._view.roster.expire(now)
-        self._dispatcher.trusts_view = self._replica.age(now) < TRUST_S
+        self._judge_view(now)
 
-    def on_changes(self, listener) -> None:
+    def on_changes(self, listener: ChangeListener) -> None:
         """Have a callable told of each change of the replica."""
         self._listeners.append(listener)
 
     def _on_changes(self, items: Sequence[PublishedItem], before: int) -> None:
-        self._view.update(items, self._clock.now())
+        now = self._clock.now()
+        self._view.update(items, now)
+        self._judge_view(now)
         for listener in self._listeners:
             listener(items, before)
 
+    def _note_first_packet(self) -> None:
+        if self._dispatcher.open_flows:
+            self._has_forwarded = True
+            _LOG.info(
+                "the first flow is being opened.",
+                revision=self._replica.revision,
+            )
+
+    def _judge_view(self, now: float) -> None:
+        """Let the dispatcher know whether it may refuse what it has no route for."""
+        fresh = self._replica.age(now) < TRUST_S
+        self._dispatcher.trusts_view = fresh and self._view.table is not None
+        if self.ready:
+            self._dispatcher.view_changed(now)
+
     def __enter__(self) -> Self:
         return self
 
@@ -146,7 +179,3 @@
         traceback: TracebackType | None,
     ) -> None:
         self._socket.close()
-
-
-TRUST_S = 2.5
-"""Age up to which a view may refuse unknown routes, in seconds."""
--- /dev/null
+++ b/egrethook/forwarder_start.py
@@ -0,0 +1,259 @@
+"""Forwards packets before the event loop and its libraries are loaded.
+
+On a small VM the libraries take most of a second to load. So a process first serves
+from a plain poll loop: it reads the registry once and forwards what arrives. Then it
+loads the libraries and forwards between one module and the next.
+"""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+import sys
+import time
+from collections.abc import Callable
+from types import TracebackType
+from typing import Protocol, Self
+
+from egrethook.addresses import Address
+from egrethook.discovery.http_exchange import (
+    HttpResponse,
+    ResponseReader,
+    request_bytes,
+)
+from egrethook.discovery.records import Snapshot
+from egrethook.exceptions import HistoryLostError, SourceUnavailableError
+from egrethook.forwarder import Forwarder
+from egrethook.logs import PartLog
+
+POLL_MS = 10
+"""Longest wait for packets before due work is looked at, in milliseconds."""
+
+CALL_TIMEOUT_S = 0.5
+"""Time in which a page of the registry has to arrive, in seconds."""
+
+READ_LIMIT_S = 0.7
+"""Time after which the other balancers are asked as well, in seconds."""
+
+RETRY_S = 0.15
+"""Pause after a failed reading, in seconds."""
+
+YIELD_MS = 1
+"""Wait for packets between two modules, in milliseconds; it yields the processor."""
+
+STEP_S = 0.004
+"""Time between two steps while libraries are loaded, in seconds."""
+
+RECEIVE_BYTES = 65_536
+
+_LOG = PartLog("start")
+
+
+class PagedReading(Protocol):
+    """Collects the pages of one reading of the registry."""
+
+    @property
+    def path(self) -> str:
+        """The path of the calls."""
+        ...
+
+    @property
+    def complete(self) -> bool:
+        """Whether the last page has been taken."""
+        ...
+
+    def query(self) -> dict[str, object]:
+        """Return the query of the next page."""
+        ...
+
+    def take(self, response: HttpResponse) -> None:
+        """Take one page."""
+        ...
+
+    def snapshot(self) -> Snapshot:
+        """Return what was read."""
+        ...
+
+
+class FastStart:
+    """Serves from a poll loop until the event loop can take over.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+        Forwards the packets and holds the replica.
+    new_reading : callable
+        Begins a reading of the registry.
+    load : callable
+        Imports what the event loop needs.
+    """
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        new_reading: Callable[[], PagedReading],
+        load: Callable[[], None],
+    ) -> None:
+        self._forwarder = forwarder
+        self._clock = forwarder.clock
+        self._new_reading = new_reading
+        self._load = load
+        self._registry = Address.parse(forwarder.settings.registry)
+        self._call: _RegistryCall | None = None
+        self._retry_at = 0.0
+
+    def run(self) -> None:
+        """Serve until the libraries are loaded."""
+        _LOG.info("the process starts.")
+        began = self._clock.now()
+        try:
+            while self._waits_for_view(began):
+                self._step(POLL_MS)
+            _LOG.info("the libraries are loaded while packets are forwarded.")
+            with _Interleaved(lambda: self._step(YIELD_MS)):
+                self._load()
+        finally:
+            if self._call is not None:
+                self._call.close()
+        _LOG.info("the libraries are loaded.")
+
+    def _waits_for_view(self, began: float) -> bool:
+        """Return whether the first reading is still worth waiting for."""
+        waited_s = self._clock.now() - began
+        return not self._forwarder.replica.revision and waited_s < READ_LIMIT_S
+
+    def _step(self, wait_ms: int) -> None:
+        """Wait for packets or for the registry, and handle them."""
+        now = self._clock.now()
+        if not self._forwarder.replica.revision and now >= self._retry_at:
+            self._read(now)
+        poll = select.poll()
+        poll.register(self._forwarder.socket.fileno(), select.POLLIN)
+        if self._call is not None:
+            poll.register(self._call.fileno(), self._call.interest)
+        ready = dict(poll.poll(wait_ms))
+        if self._call is not None and self._call.fileno() in ready:
+            self._advance()
+        self._forwarder.serve_ready()
+
+    def _read(self, now: float) -> None:
+        """Begin a reading, or give up one that takes too long."""
+        if self._call is not None and now < self._call.due:
+            return
+        if self._call is not None:
+            self._fail("no answer in time")
+            return
+        self._call = _RegistryCall(self._registry, self._new_reading(), now)
+
+    def _advance(self) -> None:
+        assert self._call is not None
+        try:
+            snapshot = self._call.advance()
+        except (OSError, SourceUnavailableError, HistoryLostError) as error:
+            self._fail(str(error))
+            return
+        if snapshot is None:
+            return
+        self._call.close()
+        self._call = None
+        self._forwarder.replica.take_snapshot(snapshot, self._clock.now())
+
+    def _fail(self, reason: str) -> None:
+        assert self._call is not None
+        self._call.close()
+        self._call = None
+        self._retry_at = self._clock.now() + RETRY_S
+        _LOG.warning("the first reading of the registry failed.", reason=reason)
+
+
+class _Interleaved:
+    """Does a step of work before each module that is imported.
+
+    An import can't be interrupted, but the interpreter asks each finder on
+    `sys.meta_path` for every module; this one finds nothing and works instead.
+
+    Parameters
+    ----------
+    step : callable
+        What is done; it must not import anything.
+    """
+
+    def __init__(self, step: Callable[[], None]) -> None:
+        self._step = step
+        self._done_at = time.monotonic()
+
+    def find_spec(self, name: str, path: object = None, target: object = None) -> None:
+        """Do a step, unless the last one was a moment ago."""
+        now = time.monotonic()
+        if now - self._done_at >= STEP_S:
+            self._step()
+            self._done_at = time.monotonic()
+
+    def __enter__(self) -> Self:
+        sys.meta_path.insert(0, self)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        sys.meta_path.remove(self)
+
+
+class _RegistryCall:
+    """One reading over one connection that never blocks."""
+
+    def __init__(self, address: Address, reading: PagedReading, now: float) -> None:
+        self._address = address
+        self._reading = reading
+        self._due = now + CALL_TIMEOUT_S
+        self._reader = ResponseReader()
+        self._sent = False
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setblocking(False)
+        self._socket.connect_ex(address)
+
+    @property
+    def due(self) -> float:
+        """When the answer has to be there, in seconds."""
+        return self._due
+
+    @property
+    def interest(self) -> int:
+        """What to wait for."""
+        return select.POLLIN if self._sent else select.POLLOUT
+
+    def fileno(self) -> int:
+        """Return the descriptor, for a selector."""
+        return self._socket.fileno()
+
+    def advance(self) -> Snapshot | None:
+        """Do what is possible; return the snapshot once it is whole."""
+        if not self._sent:
+            self._send()
+            return None
+        response = self._reader.feed(self._socket.recv(RECEIVE_BYTES))
+        if response is None:
+            return None
+        self._reading.take(response)
+        if self._reading.complete:
+            return self._reading.snapshot()
+        self._reader = ResponseReader()
+        self._send()
+        return None
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
+
+    def _send(self) -> None:
+        failure = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if failure:
+            raise OSError(failure, errno.errorcode.get(failure, "error"))
+        query = self._reading.query()
+        request = request_bytes(self._address.host, self._reading.path, **query)
+        self._socket.send(request)
+        self._sent = True
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import signal
+import sys
 import time
 
 import anyio
@@ -17,7 +18,7 @@
 from egrethook.discovery.follower import RegistryFollower
 from egrethook.discovery.records import RecordSource
 from egrethook.forwarder import Forwarder
-from egrethook.logs import PartLog
+from egrethook.logs import PartLog, log_fields, log_to
 from egrethook.operators.probes import ProbeAnswer, serve_probes
 
 TICK_S = 0.01
@@ -77,6 +78,8 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave."""
+        log_to(sys.stdout)
+        log_fields(process=self._settings.name)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._serve_packets)
             tasks.start_soon(self._tick)
--- a/egrethook/logs.py
+++ b/egrethook/logs.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import sys
+import time
 from collections import deque
 from typing import Any, TextIO
 
 EARLY_LINES = 500
 """Lines that are kept until a destination is attached."""
 
-_early: deque[tuple[str, str, str, dict[str, Any]]] = deque(maxlen=EARLY_LINES)
+_early: deque[tuple[float, str, str, str, dict[str, Any]]] = deque(maxlen=EARLY_LINES)
 _attached = False
 
 
@@ -70,17 +71,20 @@
 
 def _write(level: str, part: str, sentence: str, fields: dict[str, Any]) -> None:
     if _attached:
-        _emit(level, part, sentence, fields)
+        _emit(time.time(), level, part, sentence, fields)
     else:
-        _early.append((level, part, sentence, fields))
+        _early.append((time.time(), level, part, sentence, fields))
 
 
-def _emit(level: str, part: str, sentence: str, fields: dict[str, Any]) -> None:
+def _emit(
+    at: float, level: str, part: str, sentence: str, fields: dict[str, Any]
+) -> None:
     import eliot
 
     eliot.log_message(
         message_type=f"egrethook:{part}",
         level=level,
         message=f"{part}: {sentence}",
+        at=round(at, 4),
         **fields,
     )
--- a/egrethook/platform/daemon.py
+++ b/egrethook/platform/daemon.py
@@ -4,39 +4,56 @@
 
 import os
 import sys
+from importlib import import_module
 
 from egrethook.addresses import Address
 from egrethook.exceptions import EgrethookError
 from egrethook.forwarder import Forwarder
 from egrethook.forwarder_settings import load_forwarder_settings
+from egrethook.forwarder_start import FastStart
 from egrethook.platform.packet_header import PacketHeader
-from egrethook.platform.store_client import StoreClient
 from egrethook.platform.store_messages import StoreDecoder
+from egrethook.platform.store_reading import RangeReading
 
 SETTINGS_VARIABLE = "EGRETHOOK_CONFIG"
 """Environment variable that holds the path of the settings file."""
 
+_LIBRARIES = (
+    "anyio._backends._asyncio",
+    "uvloop",
+    "eliot",
+    "egrethook.forwarder_tasks",
+    "egrethook.platform.store_client",
+)
+"""What the event loop needs, loaded while packets are already forwarded."""
+
 
 def main() -> int:
     """Serve until told to leave; return the exit status."""
     try:
-        settings = load_forwarder_settings(os.environ[SETTINGS_VARIABLE])
+        path = os.environ.get(SETTINGS_VARIABLE, "")
+        settings = load_forwarder_settings(path)
         with Forwarder(settings, PacketHeader(), StoreDecoder()) as forwarder:
-            _run(forwarder)
+            FastStart(forwarder, RangeReading, _load).run()
+            _serve(forwarder)
     except EgrethookError as error:
         print(error, file=sys.stderr)
         return error.exit_status
     return 0
 
 
-def _run(forwarder: Forwarder) -> None:
+def _load() -> None:
+    """Import what the tasks need."""
+    for name in _LIBRARIES:
+        import_module(name)
+
+
+def _serve(forwarder: Forwarder) -> None:
     import anyio
 
     from egrethook.forwarder_tasks import ForwarderTasks
-    from egrethook.logs import log_fields, log_to
+    from egrethook.platform.store_client import StoreClient
 
-    log_to(sys.stdout)
-    log_fields(process=forwarder.settings.name)
     source = StoreClient(Address.parse(forwarder.settings.registry))
 
     async def serve() -> None:
--- a/egrethook/platform/store_messages.py
+++ b/egrethook/platform/store_messages.py
@@ -81,6 +81,7 @@
     prefix: str
     priority: int = 2
     timeout_ms: float = 0.0
+    slo_ms: float = 0.0
     service: str | None = None
     split: list[_Split] = []
 
@@ -198,4 +199,5 @@
         services=services,
         priority=entry.priority,
         timeout_s=entry.timeout_ms / 1000.0,
+        objective_s=entry.slo_ms / 1000.0,
     )
--- a/egrethook/platform/store_reading.py
+++ b/egrethook/platform/store_reading.py
@@ -51,6 +51,11 @@
         self._complete = False
         self._pages = 0
 
+    @property
+    def path(self) -> str:
+        """The path of the calls."""
+        return RANGE_PATH
+
     @property
     def complete(self) -> bool:
         """Whether the last page has been taken."""
