Let openings whose callers have gone hold no room

Ruled out: too little room (upstreams were idle), slow answers (10 ms).

Change: a flow has room at one upstream at most, and none once its opening went unanswered; the life of a waiting opening counts from the caller's first copy and the route's timeout.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -37,6 +37,9 @@
 SERVICE_S = 0.05
 """Time that an upstream usually needs once it has an opening, in seconds."""
 
+CALLER_GONE_S = 0.3
+"""Time before its caller gives up in which an opening tells nothing of an upstream."""
+
 COPY_DELAYS_S = (0.0, 0.2, 0.6)
 """When a caller sends its opening and the copies of it, in seconds."""
 
@@ -69,6 +72,7 @@
     sent_at: float = 0.0
     seen_at: float = 0.0
     tried: list[Upstream] = []
+    counted: Upstream | None = None
 
     @property
     def first_sent_at(self) -> float:
@@ -76,6 +80,19 @@
         copies = min(self.segment.copies, len(COPY_DELAYS_S) - 1)
         return self.since - COPY_DELAYS_S[copies]
 
+    @property
+    def given_up_at(self) -> float:
+        """When the caller no longer waits for its opening, in seconds."""
+        return self.first_sent_at + min(OPENING_LIFE_S, self.route.timeout_s)
+
+    def count_for(self, upstream: Upstream | None) -> None:
+        """Let the flow take room of one upstream, or of none."""
+        if self.counted is not None:
+            self.counted.open_flows -= 1
+        if upstream is not None:
+            upstream.open_flows += 1
+        self.counted = upstream
+
 
 class Counts(Struct):
     """What the dispatcher has done, for the metrics."""
@@ -248,7 +265,7 @@
         upstream = self._selector.choose(candidates, flow.tried, now)
         if upstream is None:
             return False
-        upstream.open_flows += 1
+        flow.count_for(upstream)
         flow.tried.append(upstream)
         flow.state = FlowState.SENT
         flow.sent_at = flow.seen_at = now
@@ -268,8 +285,11 @@
         if flow is None or flow.state is not FlowState.SENT:
             return
         silent = flow.tried[-1]
-        self._health.note_silence(silent, now)
-        if len(flow.tried) >= RESENDS or now - flow.since > OPENING_LIFE_S:
+        # What an upstream has not answered takes no room there.
+        flow.count_for(None)
+        if flow.sent_at + CALLER_GONE_S < flow.given_up_at:
+            self._health.note_silence(silent, now)
+        if len(flow.tried) >= RESENDS or now > flow.given_up_at:
             return
         if self._send_opening(flow, now):
             self._counts.resent += 1
@@ -311,7 +331,7 @@
             flow = self._flows.get(waiting.flow)
             if flow is None or flow.state is not FlowState.WAITING:
                 continue
-            if now - waiting.since > OPENING_LIFE_S:
+            if now + SERVICE_S > flow.given_up_at:
                 del self._flows[waiting.flow]
                 self._drop("waited too long")
                 continue
@@ -338,9 +358,7 @@
     def _note_open(self, flow: Flow, upstream: Upstream, now: float) -> None:
         self._unanswered.pop(flow.segment.flow, None)
         self._counts.answered += 1
-        for other in flow.tried:
-            if other is not upstream:
-                other.open_flows -= 1
+        flow.count_for(upstream)
         flow.tried = [upstream]
         flow.state = FlowState.OPEN
         self._health.note_answer(upstream, now)
@@ -358,8 +376,7 @@
     def _forget(self, flow: Flow) -> None:
         del self._flows[flow.segment.flow]
         self._unanswered.pop(flow.segment.flow, None)
-        for upstream in flow.tried:
-            upstream.open_flows -= 1
+        flow.count_for(None)
 
     def _sweep(self, now: float) -> None:
         """Stop counting flows that ended without a packet that says so."""
