Replay load at its worst in virtual time

Callers, routers and upstreams of unread packets as a discrete-event simulation over real dispatchers, with tests for each decision.

--- /dev/null
+++ b/egrethook/emulator/flow_world.py
@@ -0,0 +1,435 @@
+"""Callers, routers and upstreams of unread packets, in virtual time.
+
+Real dispatchers run in a discrete-event simulation: each has its own view, and
+packets take time between callers, balancers and upstreams. The same seed gives
+the same course.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from zlib import crc32
+
+from egrethook.callers.flow_dispatch import FlowDispatcher
+from egrethook.callers.segments import Endpoint
+from egrethook.discovery.records import (
+    ItemKind,
+    PublishedItem,
+    Route,
+    RouteTable,
+    UpstreamPhase,
+    UpstreamRecord,
+    WeightedService,
+)
+from egrethook.discovery.view import ForwardingView
+from egrethook.exceptions import DocumentError
+from egrethook.platform.packet_header import (
+    ACK,
+    FIN,
+    HEADER,
+    INTENDED,
+    RST,
+    SYN,
+    PacketHeader,
+)
+from egrethook.upstreams.health import PassiveHealth
+from egrethook.upstreams.selection import LeastFlowsSelector
+
+SERVICE = "readings"
+TARGET: Endpoint = (0xC6120001, 8443)
+TICK_S = 0.01
+COPY_DELAYS_S = (0.2, 0.6)
+GIVE_UP_S = 1.4
+RETRIES = 2
+QUEUE_LIMIT = 8
+SLOTS = 2
+
+
+class PlainDecoder:
+    """Takes records that were put into a dictionary instead of encoding them."""
+
+    def __init__(self) -> None:
+        self._records: dict[bytes, UpstreamRecord | RouteTable] = {}
+
+    def encode(self, record: UpstreamRecord | RouteTable) -> bytes:
+        """Return a value that stands for a record."""
+        value = str(len(self._records)).encode()
+        self._records[value] = record
+        return value
+
+    def upstream(self, name: str, value: bytes) -> UpstreamRecord:
+        """Return the record of an upstream."""
+        record = self._records.get(value)
+        if not isinstance(record, UpstreamRecord):
+            raise DocumentError(f"{name}: not a record")
+        return record
+
+    def routes(self, value: bytes) -> RouteTable:
+        """Return a configuration."""
+        table = self._records.get(value)
+        if not isinstance(table, RouteTable):
+            raise DocumentError("not a configuration")
+        return table
+
+
+def upstream_record(name: str, domain: str, **changes: object) -> UpstreamRecord:
+    """Return the record of an upstream with ordinary values."""
+    number = crc32(name.encode())
+    values: dict[str, object] = {
+        "name": name,
+        "instance": number,
+        "service": SERVICE,
+        "address": (name, 80),
+        "failure_domain": domain,
+        "phase": UpstreamPhase.READY,
+        "slots": SLOTS,
+        "started_ms": 1,
+        "cold_left_s": 0.0,
+    }
+    return UpstreamRecord(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def route_table(version: int = 1, objective_s: float = 0.15) -> RouteTable:
+    """Return a configuration with one route to one service."""
+    route = Route(
+        name="route",
+        address=TARGET,
+        services=(WeightedService(SERVICE, 1),),
+        priority=1,
+        timeout_s=2.0,
+        objective_s=objective_s,
+    )
+    return RouteTable(version, (route,), {})
+
+
+@dataclass
+class Work:
+    """One request that an upstream works at or holds in its queue."""
+
+    caller: Call
+    number: int
+
+
+@dataclass
+class EmulatedUpstream:
+    """Two slots and a short queue; a full queue sheds.
+
+    Parameters
+    ----------
+    dark : bool
+        Takes no packets and sends none.
+    slow_factor : float
+        How much longer than usual its work takes.
+    """
+
+    record: UpstreamRecord
+    dark: bool = False
+    slow_factor: float = 1.0
+    busy: int = 0
+    queue: list[Work] = field(default_factory=list)
+    ran: int = 0
+    shed: int = 0
+    openings: int = 0
+
+
+@dataclass
+class Call:
+    """One request of a caller, with its retries."""
+
+    number: int
+    vm: int
+    began_at: float
+    deadline_s: float
+    work_s: float
+    attempt: int = 0
+    port: int = 0
+    opened_with: int = 0
+    done_at: float | None = None
+    failed: bool = False
+
+    @property
+    def finished(self) -> bool:
+        """Whether the caller waits no more."""
+        return self.failed or self.done_at is not None
+
+    @property
+    def latency_s(self) -> float:
+        """Time from the first attempt to the answer, in seconds."""
+        return (self.done_at or 0.0) - self.began_at
+
+
+class _Port:
+    """Hands a dispatcher's packets to the world."""
+
+    def __init__(self, world: FlowWorld, domain: str) -> None:
+        self._world = world
+        self._domain = domain
+
+    def to_upstream(self, address: tuple[str, int], packet: bytes) -> None:
+        """Send a packet to an upstream."""
+        self._world.packet_to_upstream(self._domain, address[0], packet)
+
+    def to_caller(self, caller: Endpoint, packet: bytes) -> None:
+        """Send a packet to a caller."""
+        self._world.after(
+            self._world.caller_s, lambda: self._world.reset_for(caller[1])
+        )
+
+
+@dataclass
+class EmulatedVm:
+    """One balancer and its view."""
+
+    domain: str
+    view: ForwardingView
+    dispatcher: FlowDispatcher
+    up: bool = True
+
+
+class FlowWorld:
+    """The event queue and everything that takes part.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all random choices.
+    domains : sequence of str
+        A balancer stands in each.
+    caller_s, between_s : float
+        One-way delays to callers and between failure domains, in seconds.
+    flow_limit : int
+        Most open flows of one upstream through one balancer.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        domains: tuple[str, ...],
+        caller_s: float = 0.003,
+        between_s: float = 0.003,
+        flow_limit: int = 3,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.caller_s = caller_s
+        self._between_s = between_s
+        self._flow_limit = flow_limit
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._ports = itertools.count(1024)
+        self.decoder = PlainDecoder()
+        self.upstreams: dict[str, EmulatedUpstream] = {}
+        self.calls: list[Call] = []
+        self._by_port: dict[int, Call] = {}
+        self.vms = [self._new_vm(domain) for domain in domains]
+        for vm in self.vms:
+            self._tick(vm)
+
+    # Set up ----------------------------------------------------------------------
+
+    def _new_vm(self, domain: str) -> EmulatedVm:
+        view = ForwardingView(self.decoder, flow_life_s=60.0)
+        dispatcher = FlowDispatcher(
+            view,
+            PacketHeader(),
+            _Port(self, domain),
+            LeastFlowsSelector(domain, self._flow_limit),
+            PassiveHealth(),
+        )
+        dispatcher.trusts_view = True
+        return EmulatedVm(domain, view, dispatcher)
+
+    def add_upstream(self, name: str, domain: str) -> EmulatedUpstream:
+        """Add an upstream that no balancer knows yet."""
+        record = upstream_record(name, domain)
+        self.upstreams[name] = EmulatedUpstream(record)
+        return self.upstreams[name]
+
+    def publish(self, vm: EmulatedVm, revision: int = 1) -> None:
+        """Let a balancer know the configuration and all upstreams."""
+        items = [
+            PublishedItem(ItemKind.ROUTES, "", revision, self._value(route_table()))
+        ]
+        for upstream in self.upstreams.values():
+            value = self._value(upstream.record)
+            name = upstream.record.name
+            items.append(PublishedItem(ItemKind.UPSTREAM, name, revision, value))
+        vm.view.update(items, self.now)
+
+    def _value(self, record: UpstreamRecord | RouteTable) -> bytes:
+        return self.decoder.encode(record)
+
+    # Time ------------------------------------------------------------------------
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something later."""
+        event = (self.now + delay_s, next(self._order), action)
+        heapq.heappush(self._events, event)
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = until
+
+    def _tick(self, vm: EmulatedVm) -> None:
+        if vm.up:
+            vm.dispatcher.tick(self.now)
+        self.after(TICK_S, lambda: self._tick(vm))
+
+    # Callers ---------------------------------------------------------------------
+
+    def call(
+        self, vm: int, deadline_s: float = 2.0, work_s: float | None = None
+    ) -> Call:
+        """Let a caller send a request through a balancer."""
+        if work_s is None:
+            work_s = self.rng.uniform(0.012, 0.035)
+        call = Call(len(self.calls), vm, self.now, deadline_s, work_s)
+        self.calls.append(call)
+        self._attempt(call)
+        self.after(deadline_s, lambda: self._give_up(call))
+        return call
+
+    def _give_up(self, call: Call) -> None:
+        if not call.finished:
+            call.failed = True
+            self._by_port.pop(call.port, None)
+
+    def _attempt(self, call: Call) -> None:
+        call.port = next(self._ports)
+        call.opened_with = 0
+        self._by_port[call.port] = call
+        port = call.port
+        self._send_opening(call, port, 0)
+        for copy, delay_s in enumerate(COPY_DELAYS_S, start=1):
+            self.after(delay_s, lambda copy=copy: self._send_opening(call, port, copy))
+        self.after(GIVE_UP_S, lambda: self._end_attempt(call, port))
+
+    def _send_opening(self, call: Call, port: int, copy: int) -> None:
+        if call.port == port and not call.opened_with and not call.finished:
+            self._to_vm(call, self._packet(port, SYN, ack=copy))
+
+    def _end_attempt(self, call: Call, port: int) -> None:
+        if call.port != port or call.opened_with or call.finished:
+            return
+        self._retry(call)
+
+    def _retry(self, call: Call) -> None:
+        self._by_port.pop(call.port, None)
+        call.attempt += 1
+        if call.attempt > RETRIES:
+            call.failed = True
+            return
+        self._attempt(call)
+
+    def reset_for(self, port: int) -> None:
+        """Take a reset at a caller's port."""
+        call = self._by_port.get(port)
+        if call is not None and not call.finished:
+            self._retry(call)
+
+    def _packet(self, port: int, flags: int, ack: int = 0, echo: int = 0) -> bytes:
+        host, target_port = TARGET
+        return HEADER.pack(
+            0, port, target_port, 0x64400007, host, 0, ack, flags, echo, bytes(4)
+        )
+
+    def _to_vm(self, call: Call, packet: bytes) -> None:
+        vm = self.vms[call.vm]
+
+        def arrive() -> None:
+            if vm.up:
+                vm.dispatcher.handle(packet, self.now)
+
+        self.after(self.caller_s, arrive)
+
+    # Upstreams -------------------------------------------------------------------
+
+    def packet_to_upstream(self, domain: str, name: str, packet: bytes) -> None:
+        """Carry a packet from a balancer to an upstream."""
+        upstream = self.upstreams[name]
+        delay_s = 0.0001
+        if upstream.record.failure_domain != domain:
+            delay_s += self._between_s
+        self.after(delay_s, lambda: self._at_upstream(upstream, packet))
+
+    def _at_upstream(self, upstream: EmulatedUpstream, packet: bytes) -> None:
+        if upstream.dark:
+            return
+        intended = INTENDED.unpack_from(packet)[0]
+        if intended not in (0, upstream.record.instance):
+            return
+        _, port, _, _, _, _, _, flags, echo, _ = HEADER.unpack_from(
+            packet, INTENDED.size
+        )
+        if flags & SYN:
+            upstream.openings += 1
+            name = upstream.record.name
+            self.after(self.caller_s, lambda: self._opened(port, name, echo))
+        elif flags & ACK and not flags & (FIN | RST):
+            call = self._by_port.get(port)
+            if call is not None:
+                self._take_request(upstream, Work(call, port))
+
+    def _opened(self, port: int, name: str, echo: int) -> None:
+        call = self._by_port.get(port)
+        if call is None or call.finished or call.opened_with:
+            return
+        call.opened_with = echo
+        self._to_vm(call, self._packet(port, ACK, echo=echo))
+
+    def _take_request(self, upstream: EmulatedUpstream, work: Work) -> None:
+        if upstream.busy < SLOTS:
+            self._start(upstream, work)
+        elif len(upstream.queue) < QUEUE_LIMIT:
+            upstream.queue.append(work)
+        else:
+            upstream.shed += 1
+            self.after(self.caller_s, lambda: self._shed(work))
+
+    def _shed(self, work: Work) -> None:
+        call = work.caller
+        if call.port == work.number and not call.finished:
+            self._to_vm(call, self._packet(call.port, FIN | ACK, echo=call.opened_with))
+            self._retry(call)
+
+    def _start(self, upstream: EmulatedUpstream, work: Work) -> None:
+        upstream.busy += 1
+        upstream.ran += 1
+        duration_s = work.caller.work_s * upstream.slow_factor
+        self.after(duration_s, lambda: self._finish(upstream, work))
+
+    def _finish(self, upstream: EmulatedUpstream, work: Work) -> None:
+        upstream.busy -= 1
+        if upstream.queue:
+            self._start(upstream, upstream.queue.pop(0))
+        if not upstream.dark:
+            self.after(self.caller_s, lambda: self._answered(work))
+
+    def _answered(self, work: Work) -> None:
+        call = work.caller
+        if call.port != work.number or call.finished:
+            return
+        call.done_at = self.now
+        self._by_port.pop(call.port, None)
+        self._to_vm(call, self._packet(call.port, FIN | ACK, echo=call.opened_with))
+
+    # Results ---------------------------------------------------------------------
+
+    def on_time(self, objective_s: float = 0.15) -> float:
+        """Return the share of calls that were answered within an objective."""
+        timely = sum(
+            call.done_at is not None and call.latency_s <= objective_s
+            for call in self.calls
+        )
+        return timely / len(self.calls)
+
+    def answered(self) -> float:
+        """Return the share of calls that were answered at all."""
+        return sum(call.done_at is not None for call in self.calls) / len(self.calls)
--- a/egrethook/platform/packet_header.py
+++ b/egrethook/platform/packet_header.py
@@ -15,6 +15,7 @@
 ECHO_OFFSET = 28
 ECHO = struct.Struct(">I")
 
+ACK = 1
 SYN = 4
 FIN = 32
 RST = 64
--- /dev/null
+++ b/tests/test_flow_dispatch.py
@@ -0,0 +1,294 @@
+"""Openings and packets of flows at one balancer, without a network."""
+
+from __future__ import annotations
+
+from egrethook.callers.flow_dispatch import RESEND_S, FlowDispatcher
+from egrethook.discovery.records import ItemKind, PublishedItem, UpstreamPhase
+from egrethook.discovery.view import ForwardingView
+from egrethook.emulator.flow_world import (
+    TARGET,
+    PlainDecoder,
+    route_table,
+    upstream_record,
+)
+from egrethook.platform.packet_header import (
+    ACK,
+    FIN,
+    HEADER,
+    INTENDED,
+    RST,
+    SYN,
+    PacketHeader,
+)
+from egrethook.upstreams.health import PassiveHealth
+from egrethook.upstreams.selection import LeastFlowsSelector
+from egrethook.upstreams.upstream import flow_token
+
+
+class RecordingPort:
+    def __init__(self):
+        self.to_upstreams = []
+        self.to_callers = []
+
+    def to_upstream(self, address, packet):
+        self.to_upstreams.append((address[0], packet))
+
+    def to_caller(self, caller, packet):
+        self.to_callers.append((caller, packet))
+
+
+def packet(port, flags, ack=0, echo=0, target=TARGET):
+    return HEADER.pack(
+        0, port, target[1], 0x64400007, target[0], 7, ack, flags, echo, b"sum!"
+    )
+
+
+class Bench:
+    """A dispatcher with upstreams `a` (own domain) and `b`."""
+
+    def __init__(self, names=("a", "b"), flow_limit=3):
+        self.decoder = PlainDecoder()
+        self.view = ForwardingView(self.decoder, flow_life_s=60.0)
+        self.port = RecordingPort()
+        self.dispatcher = FlowDispatcher(
+            self.view,
+            PacketHeader(),
+            self.port,
+            LeastFlowsSelector("zone-a", flow_limit),
+            PassiveHealth(),
+        )
+        self.revision = 0
+        self.put(ItemKind.ROUTES, "", route_table())
+        for name in names:
+            self.put_upstream(name)
+        self.dispatcher.trusts_view = True
+
+    def put(self, kind, name, record, now=0.0):
+        self.revision += 1
+        value = None if record is None else self.decoder.encode(record)
+        self.view.update([PublishedItem(kind, name, self.revision, value)], now)
+
+    def put_upstream(self, name, now=0.0, **changes):
+        record = upstream_record(name, f"zone-{name}", **changes)
+        self.put(ItemKind.UPSTREAM, name, record, now)
+
+    def sent(self):
+        names = [name for name, _ in self.port.to_upstreams]
+        self.port.to_upstreams.clear()
+        return names
+
+    def upstream(self, name):
+        return self.view.roster.get(name)
+
+    def open(self, port, now):
+        """Open a flow and return its upstream's name."""
+        self.dispatcher.handle(packet(port, SYN), now)
+        (name,) = self.sent()
+        echo = self.upstream(name).token
+        self.dispatcher.handle(packet(port, ACK, echo=echo), now + 0.01)
+        self.sent()
+        return name
+
+
+def test_opening_carries_the_intended_instance_and_the_token():
+    bench = Bench()
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    (name, forwarded) = bench.port.to_upstreams[0]
+    assert name == "a"
+    assert INTENDED.unpack_from(forwarded)[0] == bench.upstream("a").instance
+    header = HEADER.unpack_from(forwarded, INTENDED.size)
+    assert header[8] == flow_token(bench.upstream("a").record) != 0
+    assert header[9] == b"sum!"
+
+
+def test_any_balancer_routes_an_open_flow_by_its_token():
+    bench = Bench()
+    echo = bench.upstream("b").token
+    bench.dispatcher.handle(packet(2000, ACK, echo=echo), 0.0)
+    assert bench.sent() == ["b"]
+
+
+def test_unknown_token_is_dropped_and_never_reset():
+    bench = Bench()
+    bench.dispatcher.handle(packet(2000, ACK, echo=1), 0.0)
+    assert bench.sent() == []
+    assert bench.port.to_callers == []
+    assert bench.dispatcher.counts.dropped == {"unknown token": 1}
+
+
+def test_silent_opening_goes_to_a_second_upstream_and_takes_room_at_one():
+    bench = Bench()
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    bench.dispatcher.tick(RESEND_S[0] - 0.001)
+    assert bench.sent() == ["a"]
+    bench.dispatcher.tick(RESEND_S[0])
+    assert bench.sent() == ["b"]
+    assert bench.upstream("a").open_flows == 0
+    assert bench.upstream("b").open_flows == 1
+
+
+def test_first_answer_decides_although_the_second_upstream_was_asked():
+    bench = Bench()
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    bench.dispatcher.tick(0.1)
+    bench.sent()
+    echo = bench.upstream("a").token
+    bench.dispatcher.handle(packet(2000, ACK, echo=echo), 0.11)
+    assert bench.sent() == ["a"]
+    assert bench.upstream("a").open_flows == 1
+    assert bench.upstream("b").open_flows == 0
+
+
+def test_upstream_that_stays_silent_is_distrusted_until_it_answers():
+    bench = Bench()
+    for port in (2000, 2001, 2002):
+        bench.dispatcher.handle(packet(port, SYN), 0.0)
+    assert bench.sent() == ["a", "b", "a"]
+    bench.dispatcher.tick(0.1)
+    assert bench.upstream("a").is_distrusted(0.2)
+    assert not bench.upstream("b").is_distrusted(0.2)
+    bench.sent()
+    bench.dispatcher.handle(packet(2003, SYN), 0.2)
+    assert bench.sent() == ["b"]
+    echo = bench.upstream("a").token
+    bench.dispatcher.handle(packet(2000, ACK, echo=echo), 0.21)
+    assert not bench.upstream("a").is_distrusted(0.22)
+
+
+def test_end_of_a_flow_gives_its_room_to_one_that_waits():
+    bench = Bench(names=("a",), flow_limit=1)
+    bench.open(2000, 0.0)
+    bench.dispatcher.handle(packet(2001, SYN), 0.02)
+    assert bench.sent() == []
+    assert bench.dispatcher.waiting == 1
+    echo = bench.upstream("a").token
+    bench.dispatcher.handle(packet(2000, FIN | ACK, echo=echo), 0.05)
+    assert bench.sent() == ["a", "a"]
+    assert bench.dispatcher.waiting == 0
+
+
+def test_flow_without_packets_gives_its_room_back():
+    bench = Bench(names=("a",), flow_limit=1)
+    bench.open(2000, 0.0)
+    bench.dispatcher.tick(4.0)
+    assert bench.upstream("a").open_flows == 0
+
+
+def test_caller_that_has_given_up_is_not_served_and_blames_nobody():
+    bench = Bench(names=("a",), flow_limit=1)
+    bench.open(2000, 0.0)
+    # The second copy: its caller began 0.6 s ago and gives up 0.8 s later.
+    bench.dispatcher.handle(packet(2001, SYN, ack=2), 0.0)
+    bench.dispatcher.tick(0.9)
+    echo = bench.upstream("a").token
+    bench.dispatcher.handle(packet(2000, FIN | ACK, echo=echo), 0.9)
+    assert bench.sent() == ["a"]
+    assert bench.dispatcher.counts.dropped == {"waited too long": 1}
+    assert bench.upstream("a").unanswered == 0
+
+
+def test_no_route_is_refused_only_under_a_fresh_view():
+    bench = Bench()
+    elsewhere = (TARGET[0], 99)
+    bench.dispatcher.trusts_view = False
+    bench.dispatcher.handle(packet(2000, SYN, target=elsewhere), 0.0)
+    assert bench.port.to_callers == []
+    bench.dispatcher.trusts_view = True
+    bench.dispatcher.view_changed(0.1)
+    (caller, reset) = bench.port.to_callers[0]
+    assert caller == (0x64400007, 2000)
+    fields = HEADER.unpack(reset)
+    assert fields[7] == RST and fields[3] == elsewhere[0] and fields[1] == 99
+
+
+def test_opening_waits_for_the_first_view():
+    bench = Bench()
+    bench.dispatcher.trusts_view = False
+    elsewhere = (TARGET[0], 99)
+    bench.dispatcher.handle(packet(2000, SYN, target=elsewhere), 0.0)
+    table = route_table(version=2)
+    route = table.routes[0]
+    moved = type(route)(
+        name=route.name,
+        address=elsewhere,
+        services=route.services,
+        priority=1,
+        timeout_s=2.0,
+        objective_s=0.15,
+    )
+    bench.put(ItemKind.ROUTES, "", type(table)(2, (moved,), {}))
+    bench.dispatcher.view_changed(0.2)
+    assert bench.sent() == ["a"]
+
+
+def test_draining_upstream_keeps_its_flows_and_gets_no_new_ones():
+    bench = Bench()
+    bench.open(2000, 0.0)
+    echo = bench.upstream("a").token
+    bench.put_upstream("a", phase=UpstreamPhase.DRAINING)
+    bench.dispatcher.handle(packet(2001, SYN), 0.1)
+    assert bench.sent() == ["b"]
+    bench.dispatcher.handle(packet(2000, ACK, echo=echo), 0.1)
+    assert bench.sent() == ["a"]
+
+
+def test_domain_taken_out_gets_no_new_flows_until_it_is_back():
+    bench = Bench()
+    bench.put(ItemKind.DOMAIN_OUT, "zone-a", route_table())
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    assert bench.sent() == ["b"]
+    bench.put(ItemKind.DOMAIN_OUT, "zone-a", None)
+    bench.dispatcher.handle(packet(2001, SYN), 0.0)
+    assert bench.sent() == ["a"]
+
+
+def test_reborn_upstream_gets_a_token_of_its_own():
+    bench = Bench(names=("a",))
+    old = bench.upstream("a").token
+    bench.put_upstream("a", started_ms=2)
+    assert bench.upstream("a").token != old
+    bench.dispatcher.handle(packet(2000, ACK, echo=old), 0.0)
+    assert bench.sent() == ["a"]
+
+
+def test_upstream_that_is_gone_gets_packets_of_its_flows_only():
+    bench = Bench()
+    echo = bench.upstream("a").token
+    bench.put(ItemKind.UPSTREAM, "a", None)
+    bench.dispatcher.handle(packet(2000, ACK, echo=echo), 0.0)
+    assert bench.sent() == ["a"]
+    bench.dispatcher.handle(packet(2001, SYN), 0.0)
+    assert bench.sent() == ["b"]
+    bench.view.roster.expire(61.0)
+    bench.dispatcher.handle(packet(2000, ACK, echo=echo), 61.0)
+    assert bench.sent() == []
+
+
+def test_record_that_lapses_while_its_upstream_answers_is_kept_for_a_while():
+    bench = Bench()
+    bench.open(2000, 10.0)
+    echo = bench.upstream("a").token
+    bench.dispatcher.handle(packet(2000, FIN | ACK, echo=echo), 10.1)
+    bench.sent()
+    bench.put(ItemKind.UPSTREAM, "a", None, now=10.5)
+    bench.dispatcher.handle(packet(2001, SYN), 11.0)
+    assert bench.sent() == ["a"]
+    bench.dispatcher.tick(11.0 + RESEND_S[0] + 0.01)
+    bench.sent()
+    bench.view.roster.expire(12.8)
+    bench.dispatcher.handle(packet(2002, SYN), 12.8)
+    assert bench.sent() == ["b"]
+
+
+def test_unreadable_record_names_no_upstream_and_leaves_the_others():
+    bench = Bench()
+    bench.put(ItemKind.UPSTREAM, "a", route_table())
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    assert bench.sent() == ["b"]
+
+
+def test_older_configuration_never_comes_back():
+    bench = Bench()
+    bench.put(ItemKind.ROUTES, "", route_table(version=5))
+    bench.put(ItemKind.ROUTES, "", route_table(version=4))
+    assert bench.view.table.version == 5
--- /dev/null
+++ b/tests/test_flow_load.py
@@ -0,0 +1,132 @@
+"""Load at its worst, replayed in virtual time over real dispatchers."""
+
+from __future__ import annotations
+
+import pytest
+
+from egrethook.callers import flow_dispatch
+from egrethook.callers.waiting import Waiting, WaitingQueue
+from egrethook.emulator.flow_world import FlowWorld
+
+DOMAINS = ("zone-a", "zone-b")
+
+
+def make_world(seed=1, upstreams=6, **options):
+    world = FlowWorld(seed, DOMAINS, **options)
+    for number in range(upstreams):
+        world.add_upstream(f"up-{number}", DOMAINS[number % 2])
+    for vm in world.vms:
+        world.publish(vm)
+    return world
+
+
+def offer(world, rate_per_s, start, end):
+    """Let callers arrive at random."""
+    time = start
+    while time < end:
+        time += world.rng.expovariate(rate_per_s)
+        vm = world.rng.randrange(len(world.vms))
+        world.after(time - world.now, lambda vm=vm: world.call(vm))
+
+
+def test_ordinary_load_is_on_time():
+    world = make_world()
+    offer(world, 200.0, 0.0, 5.0)
+    world.run(8.0)
+    assert world.answered() == 1.0
+    assert world.on_time() > 0.99
+
+
+def test_dark_upstream_makes_nobody_late():
+    world = make_world()
+    world.upstreams["up-0"].dark = True
+    offer(world, 150.0, 0.0, 5.0)
+    world.run(8.0)
+    assert world.answered() == 1.0
+    assert world.on_time() > 0.97
+
+
+def test_without_a_second_opening_a_dark_upstream_makes_callers_late(monkeypatch):
+    monkeypatch.setattr(flow_dispatch, "RESEND_S", (5.0, 5.0))
+    world = make_world()
+    world.upstreams["up-0"].dark = True
+    offer(world, 150.0, 0.0, 5.0)
+    world.run(8.0)
+    assert world.on_time() < 0.97
+
+
+def burst(world):
+    """All callers return at the moment when the fleet is back."""
+    for number in range(400):
+        world.call(number % 2)
+    offer(world, 250.0, 0.3, 2.5)
+    world.run(6.0)
+
+
+def test_burst_after_an_outage_is_served_and_later_callers_are_on_time():
+    world = make_world()
+    burst(world)
+    later = [call for call in world.calls if call.began_at > 0.3]
+    timely = sum(not call.failed and call.latency_s <= 0.15 for call in later)
+    assert world.answered() > 0.99
+    assert timely / len(later) > 0.9
+
+
+def test_first_come_first_served_makes_later_callers_late(monkeypatch):
+    def in_order(queue, now):
+        while queue._on_time:
+            yield queue._on_time[0]
+            queue._on_time.pop(0)
+
+    monkeypatch.setattr(WaitingQueue, "in_order", in_order)
+    world = make_world()
+    burst(world)
+    later = [call for call in world.calls if call.began_at > 0.3]
+    timely = sum(not call.failed and call.latency_s <= 0.15 for call in later)
+    assert timely / len(later) < 0.9
+
+
+def test_what_cannot_be_served_in_time_is_refused_at_once():
+    world = make_world(upstreams=1)
+    offer(world, 600.0, 0.0, 3.0)
+    world.run(6.0)
+    resets = sum(vm.dispatcher.counts.reset.get("too many wait", 0) for vm in world.vms)
+    assert resets > 0
+    slots_per_s = 2 / 0.0235
+    assert world.upstreams["up-0"].ran > 0.85 * slots_per_s * 3.0
+
+
+def test_upstreams_are_not_driven_into_shedding():
+    world = make_world(upstreams=4)
+    offer(world, 500.0, 0.0, 3.0)
+    world.run(6.0)
+    shed = sum(upstream.shed for upstream in world.upstreams.values())
+    ran = sum(upstream.ran for upstream in world.upstreams.values())
+    assert shed < 0.02 * ran
+
+
+@pytest.mark.parametrize("factor", [3.0, 6.0])
+def test_slow_upstream_gets_less(factor):
+    world = make_world()
+    world.upstreams["up-0"].slow_factor = factor
+    offer(world, 200.0, 0.0, 6.0)
+    world.run(9.0)
+    slow = world.upstreams["up-0"].ran
+    others = [u.ran for name, u in world.upstreams.items() if name != "up-0"]
+    assert slow < 0.6 * sum(others) / len(others)
+    assert world.answered() == 1.0
+
+
+def test_what_is_late_already_waits_for_what_can_be_on_time():
+    queue = WaitingQueue()
+    queue.push(Waiting(0, 0.0, 0.1, b"late"))
+    queue.push(Waiting(5, 0.5, 0.6, b"on time"))
+    assert [one.flow for one in queue.in_order(0.55)] == [b"on time", b"late"]
+
+
+def test_queue_is_bounded_by_what_upstreams_finish():
+    queue = WaitingQueue()
+    for number in range(40):
+        queue.push(Waiting(1, 0.0, 1.0, str(number).encode()))
+    assert not queue.is_full(open_flows=6, flow_s=0.05)
+    assert queue.is_full(open_flows=2, flow_s=0.05)
