Bound what cold upstreams get; cheap log lines; metrics; settings reload

Cold upstreams: two balancers of the fleet may send to one, each with 0.35 of its rate; most in any second at 6, 82 and 300 balancers below the rate, at 82 balancers that see 70 of each other below 1.5 x rate + 5 (test_cold_limit.py).

Logs: every opening's placement is a line; token buckets bound them, a full pipe loses lines, which are counted. eliot's import costs 0.04 s of processor time a start (pyrsistent, boltons, zope), so forwarding processes write its layout through msgspec.

--- a/egrethook/balancers/gossip_members.py
+++ b/egrethook/balancers/gossip_members.py
@@ -52,7 +52,8 @@
         self, own: MemberInfo, seeds: Iterable[Address], rng: random.Random
     ) -> None:
         self._own = own
-        self._seeds = [seed for seed in seeds if seed != own.address]
+        self._seeds: list[Address] = []
+        self.set_seeds(seeds)
         self._rng = rng
         self._known: dict[Address, _Known] = {}
 
@@ -61,6 +62,10 @@
         """This balancer, with its newest beat."""
         return self._own
 
+    def set_seeds(self, seeds: Iterable[Address]) -> None:
+        """Replace the members to ask before any is known."""
+        self._seeds = [seed for seed in seeds if seed != self._own.address]
+
     def beat(self, leaving: bool) -> MemberInfo:
         """Return this balancer's record with the next beat."""
         own = self._own
@@ -138,6 +143,19 @@
         mine = _rank(own.address)
         return sum(_rank(address) < mine for address in peers) < READERS
 
+    def is_among_first(self, subject: str, count: int, now: float) -> bool:
+        """Return whether this balancer is one of the few chosen for a subject."""
+        own = self._own
+        if own.leaving:
+            return False
+        mine = _rank(own.address, subject)
+        ahead = sum(
+            _rank(one.address, subject) < mine
+            for one in self.live(now)
+            if not one.leaving
+        )
+        return ahead < count
+
     def _draw(self, live: list[MemberInfo], near: int, far: int) -> list[Address]:
         domain = self._own.failure_domain
         local = [one.address for one in live if one.failure_domain == domain]
@@ -148,5 +166,5 @@
         ]
 
 
-def _rank(address: Address) -> tuple[int, Address]:
-    return crc32(str(address).encode()), address
+def _rank(address: Address, subject: str = "") -> tuple[int, Address]:
+    return crc32(f"{address}{subject}".encode()), address
--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -5,12 +5,13 @@
 import enum
 from collections import OrderedDict
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from egrethook.callers.segments import PacketPort, Segment, SegmentCodec
 from egrethook.callers.waiting import Waiting, WaitingQueue
 from egrethook.discovery.records import Route
 from egrethook.discovery.view import ForwardingView, pick_service
+from egrethook.histogram import LatencyHistogram
 from egrethook.logs import PartLog
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import UpstreamSelector
@@ -104,6 +105,9 @@
     waited: int = 0
     reset: dict[str, int] = {}
     dropped: dict[str, int] = {}
+    answer_times: LatencyHistogram = field(default_factory=LatencyHistogram)
+    flow_times: LatencyHistogram = field(default_factory=LatencyHistogram)
+    wait_times: LatencyHistogram = field(default_factory=LatencyHistogram)
 
 
 class FlowDispatcher:
@@ -272,6 +276,18 @@
         self._unanswered[flow.segment.flow] = now + self._resend_s()
         self._unanswered.move_to_end(flow.segment.flow)
         self._forward(upstream, flow.datagram)
+        _LOG.decision(
+            "an opening is sent to an upstream.",
+            flow=self._codec.describe(flow.segment),
+            upstream=upstream.name,
+            failure_domain=upstream.domain,
+            attempt=len(flow.tried),
+            candidates=len(candidates),
+            open_flows=upstream.open_flows,
+            waited_ms=round((now - flow.since) * 1000),
+            version=self._version(),
+            revision=self._view.revision,
+        )
         return True
 
     def _resend_s(self) -> float:
@@ -294,13 +310,11 @@
         if self._send_opening(flow, now):
             self._counts.resent += 1
             _LOG.decision(
-                "an opening without an answer goes to a second upstream.",
+                "an opening had no answer; it went to a further upstream.",
                 flow=self._codec.describe(flow.segment),
                 silent=silent.name,
-                upstream=flow.tried[-1].name,
-                waited_ms=round((now - flow.since) * 1000),
                 silent_openings=silent.unanswered,
-                version=self._version(),
+                upstream=flow.tried[-1].name,
             )
 
     # Waiting -------------------------------------------------------------------
@@ -334,9 +348,16 @@
             if now + SERVICE_S > flow.given_up_at:
                 del self._flows[waiting.flow]
                 self._drop("waited too long")
+                _LOG.decision(
+                    "an opening is dropped; its caller has given up.",
+                    flow=self._codec.describe(flow.segment),
+                    waited_ms=round((now - flow.since) * 1000),
+                    waiting=len(queue),
+                )
                 continue
             if not self._send_opening(flow, now):
                 return
+            self._counts.wait_times.observe(now - flow.since)
 
     # Open flows ----------------------------------------------------------------
 
@@ -352,6 +373,12 @@
                 self._note_end(flow, segment, now)
         if upstream is None:
             self._drop("unknown token")
+            _LOG.decision(
+                "a packet's token is not known; it is dropped.",
+                flow=self._codec.describe(segment),
+                token=segment.token,
+                revision=self._view.revision,
+            )
             return
         self._forward(upstream, datagram)
 
@@ -362,12 +389,15 @@
         flow.tried = [upstream]
         flow.state = FlowState.OPEN
         self._health.note_answer(upstream, now)
-        self._answer_s += ANSWER_WEIGHT * (now - flow.sent_at - self._answer_s)
+        answer_s = now - flow.sent_at
+        self._answer_s += ANSWER_WEIGHT * (answer_s - self._answer_s)
+        self._counts.answer_times.observe(answer_s)
         flow.sent_at = now
 
     def _note_end(self, flow: Flow, segment: Segment, now: float) -> None:
         if flow.state is FlowState.OPEN and segment.closes:
             flow.tried[0].note_service_time(now - flow.sent_at)
+            self._counts.flow_times.observe(now - flow.sent_at)
         queue = self._queues.get(flow.service)
         self._forget(flow)
         if queue:
--- a/egrethook/clock.py
+++ b/egrethook/clock.py
@@ -51,3 +51,39 @@
     def check(self) -> bool:
         """Return whether the process has been paused since the last tick."""
         return self._clock.now() - self._last > self._threshold_s
+
+
+class SuspensionDetector:
+    """Notices that the machine was suspended, which `time.monotonic` does not count.
+
+    Parameters
+    ----------
+    threshold_s : float
+        The shortest suspension that counts, in seconds.
+    """
+
+    def __init__(self, threshold_s: float = PAUSE_THRESHOLD_S) -> None:
+        self._threshold_s = threshold_s
+        self._suspended_s = _suspended_s()
+        self._count = 0
+
+    @property
+    def count(self) -> int:
+        """Suspensions so far."""
+        return self._count
+
+    def check(self) -> float:
+        """Return the length of a suspension that just ended, or 0.0, in seconds."""
+        suspended_s = _suspended_s()
+        pause_s = suspended_s - self._suspended_s
+        self._suspended_s = suspended_s
+        if pause_s < self._threshold_s:
+            return 0.0
+        self._count += 1
+        return pause_s
+
+
+def _suspended_s() -> float:
+    """Return how long the machine has been suspended since its start, in seconds."""
+    boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return boot_s - time.clock_gettime(time.CLOCK_MONOTONIC)
--- a/egrethook/discovery/records.py
+++ b/egrethook/discovery/records.py
@@ -160,6 +160,11 @@
         If changes since a revision are no longer known.
     """
 
+    @property
+    def calls(self) -> int:
+        """Calls made so far."""
+        ...
+
     async def snapshot(self) -> Snapshot:
         """Read all items."""
         ...
--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -37,6 +37,12 @@
         self._table: RouteTable | None = None
         self._routes: dict[tuple[int, int], Route] = {}
         self._domains_out: set[str] = set()
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """The newest revision of any item that was taken."""
+        return self._revision
 
     @property
     def roster(self) -> Roster:
@@ -56,6 +62,7 @@
     def update(self, items: Iterable[PublishedItem], now: float) -> None:
         """Take items that have changed; one that is not valid changes nothing."""
         for item in items:
+            self._revision = max(self._revision, item.revision)
             try:
                 self._APPLY[item.kind](self, item, now)
             except DocumentError as error:
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -38,6 +38,7 @@
 )
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import LeastFlowsSelector
+from egrethook.upstreams.upstream import Upstream
 
 SERVICE = "readings"
 TARGET: Endpoint = (0xC6120001, 8443)
@@ -49,6 +50,17 @@
 SLOTS = 2
 
 
+class AlwaysAdmits:
+    """Lets cold upstreams have what warm ones have."""
+
+    def admits(self, upstream: Upstream, now: float) -> bool:
+        """Return True."""
+        return True
+
+    def note_sent(self, upstream: Upstream, now: float) -> None:
+        """Count nothing."""
+
+
 class PlainDecoder:
     """Takes records that were put into a dictionary instead of encoding them."""
 
@@ -237,7 +249,7 @@
             view,
             PacketHeader(),
             _Port(self, domain),
-            LeastFlowsSelector(domain, self._flow_limit),
+            LeastFlowsSelector(domain, self._flow_limit, AlwaysAdmits()),
             PassiveHealth(),
         )
         dispatcher.trusts_view = True
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 from types import TracebackType
 from typing import Protocol, Self
 
@@ -12,11 +12,12 @@
 from egrethook.callers.segments import Endpoint, SegmentCodec
 from egrethook.clock import MonotonicClock
 from egrethook.datagrams import DatagramSocket
-from egrethook.discovery.records import PublishedItem, RecordDecoder
+from egrethook.discovery.records import ColdLimit, PublishedItem, RecordDecoder
 from egrethook.discovery.replica import Replica
 from egrethook.discovery.view import ForwardingView
 from egrethook.forwarder_settings import ForwarderSettings
 from egrethook.logs import PartLog
+from egrethook.upstreams.cold_limit import FleetColdLimit
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import LeastFlowsSelector
 
@@ -26,6 +27,11 @@
 """Age up to which a view may refuse unknown routes, in seconds."""
 
 
+def _nobody(name: str) -> bool:
+    """Return False: without a view of the fleet nothing is sent to cold upstreams."""
+    return False
+
+
 class ChangeListener(Protocol):
     """Is told of each change of the replica."""
 
@@ -79,11 +85,17 @@
         self._view = ForwardingView(decoder, settings.flow_life_s)
         self._listeners: list[ChangeListener] = []
         self._replica = Replica(self._on_changes)
+        self._is_sender: Callable[[str], bool] = _nobody
+        self._selector = LeastFlowsSelector(
+            settings.failure_domain,
+            settings.flow_limit,
+            FleetColdLimit(self._cold_limits, lambda one: self._is_sender(one.name)),
+        )
         self._dispatcher = FlowDispatcher(
             self._view,
             codec,
             CallerPort(self._socket),
-            LeastFlowsSelector(settings.failure_domain, settings.flow_limit),
+            self._selector,
             PassiveHealth(),
         )
         self._has_forwarded = False
@@ -137,6 +149,19 @@
                 break
         self._dispatcher.tick(self._clock.now())
 
+    def apply_settings(self, settings: ForwarderSettings) -> None:
+        """Take the settings that need no restart."""
+        self._settings = settings
+        self._selector.flow_limit = settings.flow_limit
+
+    def set_senders(self, is_sender: Callable[[str], bool]) -> None:
+        """Set which cold upstreams this balancer may send to."""
+        self._is_sender = is_sender
+
+    def _cold_limits(self) -> Mapping[str, ColdLimit]:
+        table = self._view.table
+        return table.cold_limits if table else {}
+
     def housekeep(self) -> None:
         """Drop what has expired, and note how far the view can be trusted."""
         now = self._clock.now()
--- /dev/null
+++ b/egrethook/forwarder_metrics.py
@@ -0,0 +1,111 @@
+"""The metrics of a forwarding process in Prometheus's text format."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
+from prometheus_client.metrics_core import Metric
+
+from egrethook.forwarder import Forwarder
+
+ProcessCounts = Callable[[], dict[str, float]]
+"""Returns counts that the tasks keep, by metric name."""
+
+_HELP = {
+    "registry_calls": "Calls to the service registry.",
+    "gossip_bytes": "Bytes sent to other balancers.",
+    "gossip_refused": "Datagrams from other balancers that were refused.",
+    "log_lines_left_out": "Log lines that were not written.",
+    "pauses": "Times that this process was suspended.",
+}
+
+
+class ForwarderCollector:
+    """Reads the counts that the data path keeps.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+        What is counted.
+    process_counts : callable
+        Counts of the tasks around it.
+    """
+
+    def __init__(self, forwarder: Forwarder, process_counts: ProcessCounts) -> None:
+        self._forwarder = forwarder
+        self._process_counts = process_counts
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metrics."""
+        yield from self._flow_metrics()
+        yield from self._view_metrics()
+        for name, value in self._process_counts().items():
+            yield CounterMetricFamily(f"egrethook_{name}", _HELP[name], value=value)
+
+    def _flow_metrics(self) -> Iterator[Metric]:
+        dispatcher = self._forwarder.dispatcher
+        counts = dispatcher.counts
+        for name, text, value in (
+            ("packets", "Packets from callers.", counts.packets),
+            ("openings", "Openings of flows.", counts.openings),
+            ("answered", "Openings that an upstream answered.", counts.answered),
+            ("resent", "Openings sent to a further upstream.", counts.resent),
+            ("waited", "Openings that waited for room.", counts.waited),
+        ):
+            yield CounterMetricFamily(f"egrethook_flow_{name}", text, value=value)
+        yield _by_reason("resets", "Openings refused by reason.", counts.reset)
+        yield _by_reason("dropped", "Packets dropped by reason.", counts.dropped)
+        yield GaugeMetricFamily(
+            "egrethook_flows", "Flows that are counted.", value=dispatcher.open_flows
+        )
+        yield GaugeMetricFamily(
+            "egrethook_flows_waiting", "Openings that wait.", value=dispatcher.waiting
+        )
+        for name, text, histogram in (
+            ("opening", "From an opening to its answer.", counts.answer_times),
+            ("flow", "From a flow's answer to its end.", counts.flow_times),
+            ("wait", "Wait of an opening for room.", counts.wait_times),
+        ):
+            yield HistogramMetricFamily(
+                f"egrethook_{name}_seconds",
+                text,
+                buckets=histogram.buckets(),
+                sum_value=histogram.sum_s,
+            )
+
+    def _view_metrics(self) -> Iterator[Metric]:
+        forwarder = self._forwarder
+        replica = forwarder.replica
+        now = forwarder.clock.now()
+        table = forwarder.view.table
+        upstreams = forwarder.view.roster.all()
+        distrusted = sum(upstream.is_distrusted(now) for upstream in upstreams)
+        for name, text, value in (
+            ("registry_revision", "Revision held.", replica.revision),
+            ("registry_age_seconds", "Age of what is held.", replica.age(now)),
+            ("configuration_version", "In force.", table.version if table else 0),
+            ("upstreams", "Upstreams that are known.", len(upstreams)),
+            ("upstreams_distrusted", "Upstreams left out as silent.", distrusted),
+            ("domains_out", "Domains out.", len(forwarder.view.domains_out)),
+        ):
+            yield GaugeMetricFamily(f"egrethook_{name}", text, value=value)
+
+
+def _by_reason(name: str, text: str, counts: dict[str, int]) -> Metric:
+    family = CounterMetricFamily(f"egrethook_{name}", text, labels=["reason"])
+    for reason, count in counts.items():
+        family.add_metric([reason], count)
+    return family
+
+
+def render_metrics(forwarder: Forwarder, process_counts: ProcessCounts) -> bytes:
+    """Return all metrics as text."""
+    registry = CollectorRegistry()
+    registry.register(ForwarderCollector(forwarder, process_counts))
+    return generate_latest(registry)
--- a/egrethook/forwarder_settings.py
+++ b/egrethook/forwarder_settings.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import os
 from typing import Annotated
 
 import msgspec
 
 from egrethook.addresses import Address
 from egrethook.exceptions import SettingsError
+from egrethook.logs import PartLog
 
 PortText = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
 
@@ -55,6 +57,11 @@
         return [Address.parse(text) for text in self.known_peers]
 
 
+RELOADABLE = frozenset({"known_peers", "flow_limit", "leave_s"})
+"""Settings that take effect without a restart."""
+
+_LOG = PartLog("settings")
+
 _JSON = msgspec.json.Decoder(ForwarderSettings)
 
 
@@ -79,3 +86,53 @@
         return msgspec.yaml.decode(text, type=ForwarderSettings)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from None
+
+
+class SettingsFile:
+    """Notices changes of a settings file and reads it again.
+
+    Parameters
+    ----------
+    path : str
+        The file.
+    settings : ForwarderSettings
+        What was read from it.
+    """
+
+    def __init__(self, path: str, settings: ForwarderSettings) -> None:
+        self._path = path
+        self._settings = settings
+        self._state = self._file_state()
+
+    def has_changed(self) -> bool:
+        """Return whether the file differs from the one that was read."""
+        return self._file_state() != self._state
+
+    def reload(self) -> ForwarderSettings | None:
+        """Read the file; None if nothing changed or it is not valid."""
+        self._state = self._file_state()
+        try:
+            settings = load_forwarder_settings(self._path)
+        except SettingsError as error:
+            _LOG.alarm("the settings are not valid; the old ones stay.", error=error)
+            return None
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        _LOG.info("the settings were read again.", changed=changed)
+        if not changed:
+            return None
+        restart = sorted(set(changed) - RELOADABLE)
+        if restart:
+            _LOG.warning("changes take effect at the next start.", keys=restart)
+        self._settings = settings
+        return settings
+
+    def _file_state(self) -> tuple[int, int, int] | None:
+        try:
+            state = os.stat(self._path)
+        except OSError:
+            return None
+        return state.st_mtime_ns, state.st_size, state.st_ino
--- a/egrethook/forwarder_start.py
+++ b/egrethook/forwarder_start.py
@@ -10,11 +10,8 @@
 import errno
 import select
 import socket
-import sys
-import time
 from collections.abc import Callable
-from types import TracebackType
-from typing import Protocol, Self
+from typing import Protocol
 
 from egrethook.addresses import Address
 from egrethook.discovery.http_exchange import (
@@ -25,6 +22,7 @@
 from egrethook.discovery.records import Snapshot
 from egrethook.exceptions import HistoryLostError, SourceUnavailableError
 from egrethook.forwarder import Forwarder
+from egrethook.interleaving import Interleaved
 from egrethook.logs import PartLog
 
 POLL_MS = 10
@@ -42,9 +40,6 @@
 YIELD_MS = 1
 """Wait for packets between two modules, in milliseconds; it yields the processor."""
 
-STEP_S = 0.004
-"""Time between two steps while libraries are loaded, in seconds."""
-
 RECEIVE_BYTES = 65_536
 
 _LOG = PartLog("start")
@@ -111,7 +106,7 @@
             while self._waits_for_view(began):
                 self._step(POLL_MS)
             _LOG.info("the libraries are loaded while packets are forwarded.")
-            with _Interleaved(lambda: self._step(YIELD_MS)):
+            with Interleaved(lambda: self._step(YIELD_MS)):
                 self._load()
         finally:
             if self._call is not None:
@@ -167,42 +162,6 @@
         _LOG.warning("the first reading of the registry failed.", reason=reason)
 
 
-class _Interleaved:
-    """Does a step of work before each module that is imported.
-
-    An import can't be interrupted, but the interpreter asks each finder on
-    `sys.meta_path` for every module; this one finds nothing and works instead.
-
-    Parameters
-    ----------
-    step : callable
-        What is done; it must not import anything.
-    """
-
-    def __init__(self, step: Callable[[], None]) -> None:
-        self._step = step
-        self._done_at = time.monotonic()
-
-    def find_spec(self, name: str, path: object = None, target: object = None) -> None:
-        """Do a step, unless the last one was a moment ago."""
-        now = time.monotonic()
-        if now - self._done_at >= STEP_S:
-            self._step()
-            self._done_at = time.monotonic()
-
-    def __enter__(self) -> Self:
-        sys.meta_path.insert(0, self)
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        sys.meta_path.remove(self)
-
-
 class _RegistryCall:
     """One reading over one connection that never blocks."""
 
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -5,8 +5,6 @@
 import random
 import secrets
 import signal
-import sys
-import time
 
 import anyio
 
@@ -14,12 +12,17 @@
 from egrethook.balancers.gossip import Gossip
 from egrethook.balancers.gossip_codec import MemberInfo
 from egrethook.balancers.gossip_members import GossipMembers
+from egrethook.clock import SuspensionDetector
 from egrethook.datagrams import DatagramSocket
 from egrethook.discovery.follower import RegistryFollower
 from egrethook.discovery.records import RecordSource
 from egrethook.forwarder import Forwarder
-from egrethook.logs import PartLog, log_fields, log_to
+from egrethook.forwarder_settings import SettingsFile
+from egrethook.interleaving import Interleaved
+from egrethook.line_log import LineLog
+from egrethook.logs import PartLog
 from egrethook.operators.probes import ProbeAnswer, serve_probes
+from egrethook.upstreams.cold_limit import SENDERS
 
 TICK_S = 0.01
 """Time between two looks at what is due, in seconds."""
@@ -27,12 +30,12 @@
 HOUSE_S = 0.2
 """Time between two looks at what has expired, in seconds."""
 
+SETTINGS_S = 1.0
+"""Time between two looks at the settings file, in seconds."""
+
 READ_ALONE_S = 2.0
 """Age of the replica at which each process reads for itself, in seconds."""
 
-FREEZE_S = 0.7
-"""Time suspended after which what is held is distrusted, in seconds."""
-
 _LOG = PartLog("forwarder")
 
 
@@ -45,12 +48,25 @@
         What is run.
     source : RecordSource
         Reads the registry.
+    settings_path : str
+        The settings file, which is read again when it changes.
+    log : LineLog
+        Where the process's lines go.
     """
 
-    def __init__(self, forwarder: Forwarder, source: RecordSource) -> None:
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        source: RecordSource,
+        settings_path: str,
+        log: LineLog,
+    ) -> None:
         settings = forwarder.settings
         self._forwarder = forwarder
+        self._source = source
         self._settings = settings
+        self._settings_file = SettingsFile(settings_path, settings)
+        self._log = log
         self._clock = forwarder.clock
         self._leaving = False
         rng = random.Random()
@@ -71,36 +87,35 @@
             self._awake,
         )
         forwarder.on_changes(self._gossip.pass_on)
+        forwarder.set_senders(self._is_sender)
         self._follower = RegistryFollower(
             source, forwarder.replica, self._must_read, self._clock, rng
         )
-        self._suspended_s = _suspended_s()
+        self._suspension = SuspensionDetector()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave."""
-        log_to(sys.stdout)
-        log_fields(process=self._settings.name)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._serve_packets)
-            tasks.start_soon(self._tick)
-            tasks.start_soon(self._keep_house)
-            tasks.start_soon(self._follower.run)
-            tasks.start_soon(self._gossip.beat)
-            tasks.start_soon(self._gossip.receive)
-            tasks.start_soon(
-                serve_probes,
-                Address.parse(self._settings.probes),
-                {"/readyz": self._readiness},
-            )
-            await self._wait_for_leave()
-            self._leaving = True
-            self._gossip.leave()
-            await anyio.sleep(self._settings.leave_s)
-            tasks.cancel_scope.cancel()
-        self._peer_socket.close()
-        _LOG.info(
-            "the process stops.", open_flows=self._forwarder.dispatcher.open_flows
-        )
+        with self._peer_socket:
+            async with anyio.create_task_group() as tasks:
+                for task in (
+                    self._serve_packets,
+                    self._tick,
+                    self._keep_house,
+                    self._watch_settings,
+                    self._follower.run,
+                    self._gossip.beat,
+                    self._gossip.receive,
+                    self._serve_readiness,
+                    self._serve_metrics,
+                ):
+                    tasks.start_soon(task)
+                await self._wait_for_leave()
+                self._leaving = True
+                self._gossip.leave()
+                await anyio.sleep(self._settings.leave_s)
+                tasks.cancel_scope.cancel()
+        open_flows = self._forwarder.dispatcher.open_flows
+        _LOG.info("the process stops.", open_flows=open_flows)
 
     async def _wait_for_leave(self) -> None:
         with anyio.open_signal_receiver(
@@ -110,6 +125,22 @@
                 _LOG.info("a signal has arrived.", signal=signal.Signals(number).name)
                 if number != signal.SIGHUP:
                     return
+                self._reload()
+
+    async def _watch_settings(self) -> None:
+        """Notice settings that change without a signal."""
+        while True:
+            await anyio.sleep(SETTINGS_S)
+            if self._settings_file.has_changed():
+                self._reload()
+
+    def _reload(self) -> None:
+        settings = self._settings_file.reload()
+        if settings is None:
+            return
+        self._settings = settings
+        self._members.set_seeds(settings.seeds)
+        self._forwarder.apply_settings(settings)
 
     def _must_read(self) -> bool:
         now = self._clock.now()
@@ -118,10 +149,42 @@
             or self._forwarder.replica.age(now) > READ_ALONE_S
         )
 
+    def _is_sender(self, upstream: str) -> bool:
+        return self._members.is_among_first(upstream, SENDERS, self._clock.now())
+
+    # Probes --------------------------------------------------------------------
+
+    async def _serve_readiness(self) -> None:
+        address = Address.parse(self._settings.probes)
+        await serve_probes(address, {"/readyz": self._readiness})
+
     def _readiness(self) -> ProbeAnswer:
         ready = self._forwarder.ready and not self._leaving
         return ProbeAnswer(200 if ready else 503)
 
+    async def _serve_metrics(self) -> None:
+        host = Address.parse(self._settings.packets).host
+        address = Address(host, self._settings.metrics_port)
+        await serve_probes(address, {"/metrics": self._metrics})
+
+    def _metrics(self) -> ProbeAnswer:
+        # The library is loaded for whoever asks first.
+        with Interleaved(self._forwarder.serve_ready):
+            from egrethook.forwarder_metrics import render_metrics
+
+        return ProbeAnswer(200, render_metrics(self._forwarder, self._process_counts))
+
+    def _process_counts(self) -> dict[str, float]:
+        return {
+            "registry_calls": self._source.calls,
+            "gossip_bytes": self._gossip.bytes_sent,
+            "gossip_refused": self._gossip.refused,
+            "log_lines_left_out": self._log.left_out,
+            "pauses": self._suspension.count,
+        }
+
+    # Packets and time ------------------------------------------------------------
+
     async def _serve_packets(self) -> None:
         socket = self._forwarder.socket
         serve = self._forwarder.serve_ready
@@ -143,19 +206,12 @@
             await self._awake()
             self._forwarder.housekeep()
             self._forwarder.dispatcher.tick(self._clock.now())
+            self._log.flush()
 
     async def _awake(self) -> None:
         """Distrust what is held if this process has been suspended."""
-        suspended_s = _suspended_s()
-        pause_s = suspended_s - self._suspended_s
-        self._suspended_s = suspended_s
-        if pause_s < FREEZE_S:
-            return
-        _LOG.warning("the process was suspended.", seconds=round(pause_s, 3))
-        self._forwarder.replica.distrust()
-
-
-def _suspended_s() -> float:
-    """Return how long the machine has been suspended since its start."""
-    boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
-    return boot_s - time.clock_gettime(time.CLOCK_MONOTONIC)
+        pause_s = self._suspension.check()
+        if pause_s:
+            _LOG.warning("the process was suspended.", seconds=round(pause_s, 3))
+            self._forwarder.replica.distrust()
+            self._forwarder.housekeep()
--- /dev/null
+++ b/egrethook/line_log.py
@@ -0,0 +1,150 @@
+"""Log lines in eliot's layout that cost little and never block.
+
+A full pipe or a flood of events loses lines, which are counted, not time.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+BUFFER_BYTES = 256 * 1024
+"""Lines that are kept while the pipe is full, in bytes."""
+
+DECISIONS_PER_S = 60.0
+"""Lines a second on single flows, in the long run."""
+
+DECISION_BURST = 240.0
+"""Lines on single flows that may come at once."""
+
+EVENTS_PER_S = 100.0
+"""Other lines a second, in the long run."""
+
+EVENT_BURST = 1_000.0
+"""Other lines that may come at once."""
+
+REPORT_S = 1.0
+"""Time between two lines on what was left out, in seconds."""
+
+
+class LineBudget:
+    """A token bucket for log lines.
+
+    Parameters
+    ----------
+    rate_per_s, burst : float
+        Lines a second in the long run, and at once.
+    now : float
+        The time of the start, in seconds.
+    """
+
+    def __init__(self, rate_per_s: float, burst: float, now: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._tokens = burst
+        self._at = now
+
+    def take(self, now: float) -> bool:
+        """Return whether one more line may be written."""
+        elapsed = max(0.0, now - self._at)
+        self._tokens = min(self._burst, self._tokens + elapsed * self._rate_per_s)
+        self._at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class LineLog:
+    """Writes events as lines of JSON to a descriptor that never blocks.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where the lines go.
+    process : str
+        The process's name, in each line.
+    clock : callable
+        Tells a time that does not jump, in seconds.
+    """
+
+    def __init__(
+        self, descriptor: int, process: str, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._process = process
+        self._clock = clock
+        self._encoder = msgspec.json.Encoder(enc_hook=str)
+        self._buffer = bytearray()
+        self._number = 0
+        now = clock()
+        self._decisions = LineBudget(DECISIONS_PER_S, DECISION_BURST, now)
+        self._events = LineBudget(EVENTS_PER_S, EVENT_BURST, now)
+        self._left_out = 0
+        self._left_out_unreported = 0
+        self._reported_at = now
+
+    @property
+    def left_out(self) -> int:
+        """Lines that were not written."""
+        return self._left_out
+
+    def write(
+        self, level: str, part: str, sentence: str, fields: dict[str, Any]
+    ) -> None:
+        """Take one event."""
+        now = self._clock()
+        budget = self._decisions if level == "decision" else self._events
+        if not budget.take(now):
+            self._leave_out(1)
+        else:
+            self._append(self._line(level, part, sentence, fields))
+        if self._left_out_unreported and now - self._reported_at >= REPORT_S:
+            self._report(now)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the descriptor takes."""
+        while self._buffer:
+            try:
+                written = os.write(self._descriptor, self._buffer)
+            except OSError:
+                return
+            del self._buffer[:written]
+
+    def _line(
+        self, level: str, part: str, sentence: str, fields: dict[str, Any]
+    ) -> bytes:
+        self._number += 1
+        event = {
+            "timestamp": round(time.time(), 4),
+            "level": level,
+            "message": f"{part}: {sentence}",
+            **fields,
+            "process": self._process,
+            "message_type": f"egrethook:{part}",
+            "task_uuid": self._process,
+            "task_level": [self._number],
+        }
+        return self._encoder.encode(event) + b"\n"
+
+    def _append(self, line: bytes) -> None:
+        if len(self._buffer) + len(line) > BUFFER_BYTES:
+            self._leave_out(1)
+            return
+        self._buffer += line
+
+    def _leave_out(self, count: int) -> None:
+        self._left_out += count
+        self._left_out_unreported += count
+
+    def _report(self, now: float) -> None:
+        self._reported_at = now
+        fields = {"left_out": self._left_out_unreported, "ever": self._left_out}
+        self._left_out_unreported = 0
+        self._append(self._line("warning", "log", "lines were left out.", fields))
--- a/egrethook/logs.py
+++ b/egrethook/logs.py
@@ -1,21 +1,44 @@
 """Structured logs: one line of JSON an event, with a fixed prefix for each part.
 
-Lines are written through a destination that is attached once the process is up;
-until then a bounded number of them is kept.
+Events go to eliot unless a process sets another destination; see `line_log` for
+the one of forwarding processes.
 """
 
 from __future__ import annotations
 
 import sys
-import time
-from collections import deque
-from typing import Any, TextIO
+from typing import Any, Protocol, TextIO
 
-EARLY_LINES = 500
-"""Lines that are kept until a destination is attached."""
 
-_early: deque[tuple[float, str, str, str, dict[str, Any]]] = deque(maxlen=EARLY_LINES)
-_attached = False
+class LogDestination(Protocol):
+    """Takes events."""
+
+    def write(
+        self, level: str, part: str, sentence: str, fields: dict[str, Any]
+    ) -> None:
+        """Take one event; never blocks."""
+        ...
+
+
+class EliotDestination:
+    """Hands events to eliot, which knows the action that is going on."""
+
+    def write(
+        self, level: str, part: str, sentence: str, fields: dict[str, Any]
+    ) -> None:
+        """Take one event."""
+        # Slow to load, and not needed by every process.
+        import eliot
+
+        eliot.log_message(
+            message_type=f"egrethook:{part}",
+            level=level,
+            message=f"{part}: {sentence}",
+            **fields,
+        )
+
+
+_destination: LogDestination = EliotDestination()
 
 
 class PartLog:
@@ -32,27 +55,33 @@
 
     def info(self, sentence: str, **fields: Any) -> None:
         """Log an ordinary event."""
-        _write("info", self._part, sentence, fields)
+        _destination.write("info", self._part, sentence, fields)
 
     def decision(self, sentence: str, **fields: Any) -> None:
         """Log what was decided about one flow, and from which inputs."""
-        _write("decision", self._part, sentence, fields)
+        _destination.write("decision", self._part, sentence, fields)
 
     def warning(self, sentence: str, **fields: Any) -> None:
         """Log an event that an operator may want to look at."""
-        _write("warning", self._part, sentence, fields)
+        _destination.write("warning", self._part, sentence, fields)
 
     def alarm(self, sentence: str, **fields: Any) -> None:
         """Log an event that an operator has to act on."""
-        _write("alarm", self._part, sentence, fields)
+        _destination.write("alarm", self._part, sentence, fields)
+
+
+def set_destination(destination: LogDestination) -> LogDestination:
+    """Send the events of this process elsewhere; return where they went."""
+    global _destination
+    previous, _destination = _destination, destination
+    return previous
 
 
 def log_to(stream: TextIO = sys.stderr) -> None:
-    """Send the log of this process to a stream."""
+    """Send the log of this process to a stream, through eliot."""
     import eliot
 
     eliot.to_file(stream)
-    _attach()
 
 
 def log_fields(**fields: Any) -> None:
@@ -60,31 +89,3 @@
     import eliot
 
     eliot.add_global_fields(**fields)
-
-
-def _attach() -> None:
-    global _attached
-    _attached = True
-    while _early:
-        _emit(*_early.popleft())
-
-
-def _write(level: str, part: str, sentence: str, fields: dict[str, Any]) -> None:
-    if _attached:
-        _emit(time.time(), level, part, sentence, fields)
-    else:
-        _early.append((time.time(), level, part, sentence, fields))
-
-
-def _emit(
-    at: float, level: str, part: str, sentence: str, fields: dict[str, Any]
-) -> None:
-    import eliot
-
-    eliot.log_message(
-        message_type=f"egrethook:{part}",
-        level=level,
-        message=f"{part}: {sentence}",
-        at=round(at, 4),
-        **fields,
-    )
--- a/egrethook/platform/daemon.py
+++ b/egrethook/platform/daemon.py
@@ -11,6 +11,8 @@
 from egrethook.forwarder import Forwarder
 from egrethook.forwarder_settings import load_forwarder_settings
 from egrethook.forwarder_start import FastStart
+from egrethook.line_log import LineLog
+from egrethook.logs import set_destination
 from egrethook.platform.packet_header import PacketHeader
 from egrethook.platform.store_messages import StoreDecoder
 from egrethook.platform.store_reading import RangeReading
@@ -21,7 +23,6 @@
 _LIBRARIES = (
     "anyio._backends._asyncio",
     "uvloop",
-    "eliot",
     "egrethook.forwarder_tasks",
     "egrethook.platform.store_client",
 )
@@ -33,9 +34,11 @@
     try:
         path = os.environ.get(SETTINGS_VARIABLE, "")
         settings = load_forwarder_settings(path)
+        log = LineLog(sys.stdout.fileno(), settings.name)
+        set_destination(log)
         with Forwarder(settings, PacketHeader(), StoreDecoder()) as forwarder:
             FastStart(forwarder, RangeReading, _load).run()
-            _serve(forwarder)
+            _serve(forwarder, path, log)
     except EgrethookError as error:
         print(error, file=sys.stderr)
         return error.exit_status
@@ -48,7 +51,7 @@
         import_module(name)
 
 
-def _serve(forwarder: Forwarder) -> None:
+def _serve(forwarder: Forwarder, settings_path: str, log: LineLog) -> None:
     import anyio
 
     from egrethook.forwarder_tasks import ForwarderTasks
@@ -57,7 +60,7 @@
     source = StoreClient(Address.parse(forwarder.settings.registry))
 
     async def serve() -> None:
-        await ForwarderTasks(forwarder, source).run()
+        await ForwarderTasks(forwarder, source, settings_path, log).run()
 
     anyio.run(serve, backend_options={"use_uvloop": True})
 
--- /dev/null
+++ b/egrethook/upstreams/cold_limit.py
@@ -0,0 +1,101 @@
+"""Bounds what a cold upstream gets from the whole fleet.
+
+Every balancer that may send to a cold upstream gets a fixed part of its rate, and
+only a few may. So the parts add up to less than the rate, whatever the size of the
+fleet, and stay below the bound while two views name different balancers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from msgspec import Struct
+
+from egrethook.discovery.records import ColdLimit
+from egrethook.upstreams.upstream import Upstream
+
+SENDERS = 2
+"""Balancers that send to one cold upstream."""
+
+SENDER_SHARE = 0.35
+"""Part of a cold upstream's rate that one balancer may use."""
+
+RECHECK_S = 0.2
+"""Time after which a balancer asks again whether it may send, in seconds."""
+
+BURST = 1.0
+"""Openings that one balancer may send to a cold upstream at once."""
+
+
+class ColdAdmission(Protocol):
+    """Says whether a cold upstream may get an opening now."""
+
+    def admits(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an opening may be sent."""
+        ...
+
+    def note_sent(self, upstream: Upstream, now: float) -> None:
+        """Count an opening that was sent."""
+        ...
+
+
+class _Allowance(Struct):
+    """A token bucket for one upstream, and whether it may be used at all."""
+
+    tokens: float
+    at: float
+    may_send: bool = False
+    checked_at: float = float("-inf")
+
+
+class FleetColdLimit:
+    """Shares the rate of each cold upstream among a few balancers.
+
+    Parameters
+    ----------
+    limits : callable
+        Returns what cold upstreams of each service bear.
+    may_send : callable
+        Returns whether this balancer is one of the few for an upstream.
+    """
+
+    def __init__(
+        self,
+        limits: Callable[[], Mapping[str, ColdLimit]],
+        may_send: Callable[[Upstream], bool],
+    ) -> None:
+        self._limits = limits
+        self._may_send = may_send
+        self._allowances: dict[int, _Allowance] = {}
+
+    def admits(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an opening may be sent."""
+        if not upstream.is_cold(now):
+            self._allowances.pop(upstream.token, None)
+            return True
+        limit = self._limits().get(upstream.service)
+        if limit is None or limit.rate_per_s <= 0.0:
+            return True
+        allowance = self._refilled(upstream, limit.rate_per_s, now)
+        if now - allowance.checked_at >= RECHECK_S:
+            allowance.may_send = self._may_send(upstream)
+            allowance.checked_at = now
+        return allowance.may_send and allowance.tokens >= 1.0
+
+    def note_sent(self, upstream: Upstream, now: float) -> None:
+        """Count an opening that was sent."""
+        allowance = self._allowances.get(upstream.token)
+        if allowance is not None:
+            allowance.tokens -= 1.0
+
+    def _refilled(
+        self, upstream: Upstream, rate_per_s: float, now: float
+    ) -> _Allowance:
+        allowance = self._allowances.get(upstream.token)
+        if allowance is None:
+            allowance = self._allowances[upstream.token] = _Allowance(BURST, now)
+        gained = (now - allowance.at) * rate_per_s * SENDER_SHARE
+        allowance.tokens = min(BURST, allowance.tokens + gained)
+        allowance.at = now
+        return allowance
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
+from egrethook.upstreams.cold_limit import ColdAdmission
 from egrethook.upstreams.upstream import Upstream
 
 REMOTE_COST = 0.7
@@ -33,13 +34,25 @@
         The failure domain of this balancer.
     flow_limit : int
         Most open flows of one upstream through this balancer.
+    cold : ColdAdmission
+        Bounds what cold upstreams get.
     """
 
-    def __init__(self, domain: str, flow_limit: int) -> None:
+    def __init__(self, domain: str, flow_limit: int, cold: ColdAdmission) -> None:
+        self._cold = cold
         self._domain = domain
         self._flow_limit = flow_limit
         self._turn = 0
 
+    @property
+    def flow_limit(self) -> int:
+        """Most open flows of one upstream through this balancer."""
+        return self._flow_limit
+
+    @flow_limit.setter
+    def flow_limit(self, limit: int) -> None:
+        self._flow_limit = limit
+
     def choose(
         self, candidates: Iterable[Upstream], tried: Collection[Upstream], now: float
     ) -> Upstream | None:
@@ -47,13 +60,19 @@
         usable = [candidate for candidate in candidates if candidate not in tried]
         trusted = [one for one in usable if not one.is_distrusted(now)]
         pool = trusted or usable
-        roomy = [one for one in pool if one.open_flows < self._flow_limit]
+        roomy = [
+            one
+            for one in pool
+            if one.open_flows < self._flow_limit and self._cold.admits(one, now)
+        ]
         if not roomy:
             return None
         # Equal candidates take turns.
         self._turn += 1
         start = self._turn % len(roomy)
-        return min(roomy[start:] + roomy[:start], key=self._cost(pool))
+        chosen = min(roomy[start:] + roomy[:start], key=self._cost(pool))
+        self._cold.note_sent(chosen, now)
+        return chosen
 
     def _cost(self, pool: list[Upstream]) -> Callable[[Upstream], float]:
         """Return the function by which candidates are compared."""
--- /dev/null
+++ b/tests/test_cold_limit.py
@@ -0,0 +1,88 @@
+"""What a cold upstream gets from a whole fleet."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from egrethook.addresses import Address
+from egrethook.balancers.gossip_codec import MemberInfo
+from egrethook.balancers.gossip_members import GossipMembers
+from egrethook.discovery.records import ColdLimit
+from egrethook.emulator.flow_world import SERVICE, upstream_record
+from egrethook.upstreams.cold_limit import SENDERS, FleetColdLimit
+from egrethook.upstreams.selection import LeastFlowsSelector
+from egrethook.upstreams.upstream import Upstream
+
+RATE_PER_S = 20.0
+OVERSHOOT, SLACK = 1.5, 5.0
+
+
+def fleet(size, names, known=None):
+    """Return the cold limit of each balancer; `known` bounds what each sees."""
+    infos = [
+        MemberInfo(Address(f"10.0.{n // 200}.{n % 200 + 1}", 7000), "zone", 1, 1)
+        for n in range(size)
+    ]
+    limits = []
+    for number, info in enumerate(infos):
+        members = GossipMembers(info, [], random.Random(number))
+        seen = infos if known is None else random.Random(number).sample(infos, known)
+        members.merge(seen, 0.0)
+
+        def may_send(upstream, members=members):
+            return members.is_among_first(upstream.name, SENDERS, 0.0)
+
+        cold = FleetColdLimit(lambda: {SERVICE: ColdLimit(2.0, RATE_PER_S)}, may_send)
+        limits.append(cold)
+    return limits
+
+
+def cold_upstream(name="up-1", cold_s=60.0):
+    return Upstream(upstream_record(name, "zone", cold_left_s=cold_s), 0.0)
+
+
+def most_in_a_second(limits, upstream, seconds=5):
+    """Let every balancer send as much as it may; return the most in any second."""
+    sent = []
+    for step in range(seconds * 200):
+        now = step / 200
+        for cold in limits:
+            if cold.admits(upstream, now):
+                cold.note_sent(upstream, now)
+                sent.append(now)
+    return max(sum(at <= one < at + 1.0 for one in sent) for at in sent)
+
+
+@pytest.mark.parametrize("size", [1, 6, 82, 300])
+def test_cold_upstream_gets_no_more_than_it_bears(size):
+    limits = fleet(size, None)
+    assert most_in_a_second(limits, cold_upstream()) <= RATE_PER_S
+
+
+def test_bound_holds_while_balancers_see_only_a_part_of_the_fleet():
+    limits = fleet(82, None, known=70)
+    most = most_in_a_second(limits, cold_upstream())
+    assert most <= RATE_PER_S * OVERSHOOT + SLACK
+
+
+def test_share_does_not_vanish_in_a_large_fleet():
+    limits = fleet(300, None)
+    assert most_in_a_second(limits, cold_upstream()) > 0.5 * RATE_PER_S
+
+
+def test_warm_upstream_and_service_without_a_limit_are_free():
+    cold = FleetColdLimit(lambda: {SERVICE: ColdLimit(2.0, 0.0)}, lambda one: False)
+    assert cold.admits(cold_upstream(), 0.0)
+    strict = FleetColdLimit(lambda: {SERVICE: ColdLimit(2.0, 5.0)}, lambda one: False)
+    assert not strict.admits(cold_upstream(cold_s=2.0), 1.9)
+    assert strict.admits(cold_upstream(cold_s=2.0), 2.0)
+
+
+def test_selector_passes_a_cold_upstream_by():
+    strict = FleetColdLimit(lambda: {SERVICE: ColdLimit(2.0, 5.0)}, lambda one: False)
+    selector = LeastFlowsSelector("zone", 3, strict)
+    warm = Upstream(upstream_record("up-2", "elsewhere"), 0.0)
+    assert selector.choose([cold_upstream(), warm], (), 1.0) is warm
+    assert selector.choose([cold_upstream()], (), 1.0) is None
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -7,6 +7,7 @@
 from egrethook.discovery.view import ForwardingView
 from egrethook.emulator.flow_world import (
     TARGET,
+    AlwaysAdmits,
     PlainDecoder,
     route_table,
     upstream_record,
@@ -54,7 +55,7 @@
             self.view,
             PacketHeader(),
             self.port,
-            LeastFlowsSelector("zone-a", flow_limit),
+            LeastFlowsSelector("zone-a", flow_limit, AlwaysAdmits()),
             PassiveHealth(),
         )
         self.revision = 0
