Carry long values: compressed gossip, timeouts by progress

The value is longer than a datagram, so deltas with it were lost without a word, and at 5 Mbit/s its reading takes longer than the whole-call timeout, which began it anew.

Ruled out: readers that had stopped (ages were fresh before), order (nothing reverted).

Change: values over 1 KB are compressed; what is long is asked for, not pushed; a call ends when its answer makes no progress; a message that is too long is logged.

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -8,7 +8,14 @@
 import anyio
 
 from egrethook.addresses import Address
-from egrethook.balancers.gossip_codec import Delta, Digest, decode, encode
+from egrethook.balancers.gossip_codec import (
+    DATAGRAM_LIMIT,
+    Delta,
+    Digest,
+    decode,
+    encode,
+    packed_size,
+)
 from egrethook.balancers.gossip_members import GossipMembers
 from egrethook.clock import Clock
 from egrethook.datagrams import DatagramSocket
@@ -21,9 +28,12 @@
 """Time between two digests to the same partner, in seconds."""
 
 DELTA_BYTES = 24_000
-"""Most bytes of items in one delta."""
+"""Bytes of items in one delta, unless its first item alone is longer."""
 
-PULL_INTERVAL_S = 0.05
+PUSH_BYTES = 4_000
+"""Most bytes of items that are sent without being asked for."""
+
+PULL_INTERVAL_S = 0.1
 """Time between two digests that ask for changes, in seconds."""
 
 _LOG = PartLog("gossip")
@@ -106,9 +116,8 @@
         if not items or not before:
             return
         changes = Changes(before, self._replica.revision, items)
-        size = sum(len(item.value or b"") for item in items)
-        if size > DELTA_BYTES:
-            # Partners ask for what does not fit.
+        if sum(packed_size(item) for item in items) > PUSH_BYTES:
+            # Who lacks it asks once, in place of getting it from several.
             for partner in self._members.audience(now):
                 self._send(partner, self._digest(now))
             return
@@ -147,7 +156,7 @@
             self._ask(source, now)
 
     def _send_missing(self, partner: Address, after: int, now: float) -> None:
-        changes = self._replica.catalog.since(after, DELTA_BYTES)
+        changes = self._replica.catalog.since(after, DELTA_BYTES, packed_size)
         if changes is None:
             return
         current = changes.revision == self._replica.revision
@@ -171,5 +180,9 @@
 
     def _send(self, partner: Address, message: Digest | Delta) -> None:
         datagram = encode(message)
+        if len(datagram) > DATAGRAM_LIMIT:
+            # Whoever lacks this reads the registry itself.
+            _LOG.warning("a message is too long to be sent.", bytes=len(datagram))
+            return
         self._bytes_sent += len(datagram)
         self._socket.send(partner, datagram)
--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import ipaddress
+import zlib
 from dataclasses import dataclass
+from functools import lru_cache
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TException
@@ -17,6 +19,15 @@
 DATAGRAM_LIMIT = 60_000
 """Longest message that is decoded, in bytes."""
 
+VALUE_LIMIT = 4 * 2**20
+"""Longest value of an item, in bytes."""
+
+PACK_BYTES = 1_024
+"""Length from which a value is compressed, in bytes."""
+
+PACKED_VALUES = 16
+"""Compressed values that are kept, since each goes to several partners."""
+
 NAME_LIMIT = 200
 """Longest name in a message, in characters."""
 
@@ -24,7 +35,7 @@
     string_length_limit=DATAGRAM_LIMIT, container_length_limit=4096
 )
 
-_ERRORS = (TException, EOFError, ValueError, TypeError, OverflowError, MemoryError)
+_ERRORS = (TException, EOFError, ValueError, TypeError, OverflowError, zlib.error)
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,26 +152,47 @@
     )
 
 
+def packed_size(item: PublishedItem) -> int:
+    """Return how many bytes an item takes in a message, about."""
+    return len(item.name) + len(_pack_value(item.value)[0] or b"")
+
+
+@lru_cache(maxsize=PACKED_VALUES)
+def _pack_value(value: bytes | None) -> tuple[bytes | None, bool]:
+    """Return a value as it is sent, and whether it has been compressed."""
+    if value is None or len(value) < PACK_BYTES:
+        return value, False
+    return zlib.compress(value, 1), True
+
+
+def _pack_item(item: PublishedItem) -> ttypes.Item:
+    value, packed = _pack_value(item.value)
+    return ttypes.Item(int(item.kind), item.name, item.revision, value, packed)
+
+
+def _unpack_item(item: ttypes.Item) -> PublishedItem:
+    value = item.value
+    if item.packed and value is not None:
+        inflater = zlib.decompressobj()
+        value = inflater.decompress(value, VALUE_LIMIT)
+        if not inflater.eof:
+            raise ValueError("a value is cut off or too long")
+    kind, name = ItemKind(item.kind), _name(item.name)
+    return PublishedItem(kind, name, _revision(item.revision), value)
+
+
 def _pack_delta(delta: Delta) -> ttypes.Delta:
     changes = delta.changes
     return ttypes.Delta(
         after=changes.after,
         revision=changes.revision,
         age_ms=_milliseconds(delta.age_s),
-        items=[
-            ttypes.Item(int(item.kind), item.name, item.revision, item.value)
-            for item in changes.items
-        ],
+        items=[_pack_item(item) for item in changes.items],
     )
 
 
 def _unpack_delta(packed: ttypes.Delta) -> Delta:
-    items = [
-        PublishedItem(
-            ItemKind(item.kind), _name(item.name), _revision(item.revision), item.value
-        )
-        for item in packed.items
-    ]
+    items = [_unpack_item(item) for item in packed.items]
     changes = Changes(_revision(packed.after), _revision(packed.revision), items)
     return Delta(changes, _seconds(packed.age_ms))
 
--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
 
@@ -13,6 +13,11 @@
 ItemKey = tuple[ItemKind, str]
 
 
+def item_size(item: PublishedItem) -> int:
+    """Return the bytes of an item's name and value."""
+    return len(item.name) + len(item.value or b"")
+
+
 class Catalog:
     """The newest revision of each item, complete up to `revision`.
 
@@ -64,9 +69,23 @@
             self._revision = max(self._revision, changes.revision)
         return changed
 
-    def since(self, after: int, limit_bytes: int) -> Changes | None:
+    def since(
+        self,
+        after: int,
+        limit_bytes: int,
+        size_of: Callable[[PublishedItem], int] = item_size,
+    ) -> Changes | None:
         """Return the changes after a revision that fit, oldest first.
 
+        Parameters
+        ----------
+        after : int
+            The revision that the reader holds.
+        limit_bytes : int
+            Most bytes, unless the first item alone is longer.
+        size_of : callable
+            Returns the bytes that an item takes.
+
         Returns
         -------
         Changes or None
@@ -78,7 +97,7 @@
         newer.sort(key=lambda item: item.revision)
         size = 0
         for count, item in enumerate(newer):
-            size += len(item.name) + len(item.value or b"")
+            size += size_of(item)
             if count and size > limit_bytes:
                 return Changes(after, newer[count - 1].revision, newer[:count])
         return Changes(after, max(after, self._revision), newer)
--- a/egrethook/discovery/http_client.py
+++ b/egrethook/discovery/http_client.py
@@ -13,6 +13,9 @@
 )
 from egrethook.exceptions import SourceUnavailableError
 
+PROGRESS_TIMEOUT_S = 1.0
+"""Time in which more of an answer arrives, in seconds."""
+
 CONNECT_TIMEOUT_S = 0.6
 """Time in which a connection is made, in seconds."""
 
@@ -39,6 +42,14 @@
     async def get(self, path: str, timeout_s: float, **query: object) -> HttpResponse:
         """Make one call.
 
+        Parameters
+        ----------
+        path : str
+            What is asked for.
+        timeout_s : float
+            Time until the answer begins, in seconds; a long one may take
+            longer as long as it makes progress.
+
         Raises
         ------
         SourceUnavailableError
@@ -47,7 +58,8 @@
         kept = self._stream is not None
         try:
             with anyio.fail_after(timeout_s):
-                return await self._exchange(path, query)
+                data = await self._send(path, query)
+            return await self._read_response(data)
         except (OSError, TimeoutError, anyio.BrokenResourceError) as error:
             await self.aclose()
             reason = str(error) or type(error).__name__
@@ -68,18 +80,28 @@
         if stream is not None:
             await anyio.aclose_forcefully(stream)
 
-    async def _exchange(self, path: str, query: dict[str, object]) -> HttpResponse:
+    async def _send(self, path: str, query: dict[str, object]) -> bytes:
+        """Send a request and return the first bytes of its answer."""
         if self._stream is None:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 self._stream = await anyio.connect_tcp(*self._address)
         self._calls += 1
         await self._stream.send(request_bytes(self._address.host, path, **query))
+        return await self._receive()
+
+    async def _read_response(self, data: bytes) -> HttpResponse:
         reader = ResponseReader()
-        while True:
-            try:
-                data = await self._stream.receive()
-            except anyio.EndOfStream:
-                data = b""
+        response = reader.feed(data)
+        while response is None:
+            with anyio.fail_after(PROGRESS_TIMEOUT_S):
+                data = await self._receive()
             response = reader.feed(data)
-            if response is not None:
-                return response
+        return response
+
+    async def _receive(self) -> bytes:
+        """Return bytes, or none if the connection was closed."""
+        assert self._stream is not None
+        try:
+            return await self._stream.receive()
+        except anyio.EndOfStream:
+            return b""
--- a/egrethook/exceptions.py
+++ b/egrethook/exceptions.py
@@ -139,6 +139,13 @@
     code = "E502"
 
 
+class FlowNotFoundError(EgrethookError):
+    """A flow that no line of the given logs is on."""
+
+    code = "E503"
+    exit_status = 1
+
+
 def error_classes() -> list[type[EgrethookError]]:
     """Return the exception classes sorted by code."""
     return sorted(EgrethookError.__subclasses__(), key=lambda cls: cls.code)
--- a/egrethook/forwarder_start.py
+++ b/egrethook/forwarder_start.py
@@ -29,7 +29,7 @@
 """Longest wait for packets before due work is looked at, in milliseconds."""
 
 CALL_TIMEOUT_S = 0.5
-"""Time in which a page of the registry has to arrive, in seconds."""
+"""Time in which more of the registry's answer has to arrive, in seconds."""
 
 READ_LIMIT_S = 0.7
 """Time after which the other balancers are asked as well, in seconds."""
@@ -108,6 +108,8 @@
             _LOG.info("the libraries are loaded while packets are forwarded.")
             with Interleaved(lambda: self._step(YIELD_MS)):
                 self._load()
+            while self._is_reading():
+                self._step(POLL_MS)
         finally:
             if self._call is not None:
                 self._call.close()
@@ -118,6 +120,10 @@
         waited_s = self._clock.now() - began
         return not self._forwarder.replica.revision and waited_s < READ_LIMIT_S
 
+    def _is_reading(self) -> bool:
+        """Return whether the answer to the first reading is on its way."""
+        return self._call is not None and self._call.has_begun
+
     def _step(self, wait_ms: int) -> None:
         """Wait for packets or for the registry, and handle them."""
         now = self._clock.now()
@@ -144,7 +150,7 @@
     def _advance(self) -> None:
         assert self._call is not None
         try:
-            snapshot = self._call.advance()
+            snapshot = self._call.advance(self._clock.now())
         except (OSError, SourceUnavailableError, HistoryLostError) as error:
             self._fail(str(error))
             return
@@ -171,6 +177,7 @@
         self._due = now + CALL_TIMEOUT_S
         self._reader = ResponseReader()
         self._sent = False
+        self._has_begun = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
         self._socket.connect_ex(address)
@@ -180,6 +187,11 @@
         """When the answer has to be there, in seconds."""
         return self._due
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the answer has arrived."""
+        return self._has_begun
+
     @property
     def interest(self) -> int:
         """What to wait for."""
@@ -189,11 +201,14 @@
         """Return the descriptor, for a selector."""
         return self._socket.fileno()
 
-    def advance(self) -> Snapshot | None:
+    def advance(self, now: float) -> Snapshot | None:
         """Do what is possible; return the snapshot once it is whole."""
         if not self._sent:
             self._send()
             return None
+        # A long answer may take its time as long as it makes progress.
+        self._has_begun = True
+        self._due = now + CALL_TIMEOUT_S
         response = self._reader.feed(self._socket.recv(RECEIVE_BYTES))
         if response is None:
             return None
--- a/egrethook/operators/commands.py
+++ b/egrethook/operators/commands.py
@@ -22,6 +22,7 @@
 from egrethook.exceptions import (
     AdminUnreachableError,
     EgrethookError,
+    FlowNotFoundError,
     SettingsError,
     UsageError,
 )
@@ -34,6 +35,7 @@
 )
 from egrethook.operators.checks import check_file, load_document
 from egrethook.operators.client import call_service
+from egrethook.operators.explain import explain, read_lines
 from egrethook.operators.fleet import HEADINGS as FLEET_HEADINGS
 from egrethook.operators.fleet import BalancerState, Fleet, ask_to_leave, fleet_rows
 from egrethook.operators.reference import check_pages, write_pages
@@ -272,6 +274,31 @@
         return with_domain(index, self.argument("domain"), state == "in")
 
 
+class ExplainCommand(Command):
+    """Explains a failed request."""
+
+    name = "explain"
+    description = "Tell from log files what became of a flow, and why."
+    arguments = [
+        argument("flow", "A flow's id or a part of it, such as ADDRESS:PORT."),
+        argument("logs", "Log files of the fleet.", multiple=True),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        texts = (
+            text
+            for path in self.argument("logs")
+            for text in read_text(Path(path)).splitlines()
+        )
+        told = explain(read_lines(texts), self.argument("flow"))
+        if not told:
+            raise FlowNotFoundError(f"no line is on {self.argument('flow')}")
+        for text in told:
+            self.line(text)
+        return 0
+
+
 class ReferenceCommand(Command):
     """Writes the reference pages."""
 
@@ -312,6 +339,7 @@
     PresetCommand,
     DomainCommand,
     DrainCommand,
+    ExplainCommand,
     ReferenceCommand,
 ]
 
--- a/egrethook/platform/daemon.py
+++ b/egrethook/platform/daemon.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 from importlib import import_module
 
 from egrethook.addresses import Address
 from egrethook.exceptions import EgrethookError
+from egrethook.fast_import import import_without  # noqa: F401
 from egrethook.forwarder import Forwarder
 from egrethook.forwarder_settings import load_forwarder_settings
 from egrethook.forwarder_start import FastStart
@@ -38,6 +40,9 @@
         set_destination(log)
         with Forwarder(settings, PacketHeader(), StoreDecoder()) as forwarder:
             FastStart(forwarder, RangeReading, _load).run()
+            # What start has made stays; only later garbage is looked for.
+            gc.freeze()
+            gc.enable()
             _serve(forwarder, path, log)
     except EgrethookError as error:
         print(error, file=sys.stderr)
@@ -63,7 +68,3 @@
         await ForwarderTasks(forwarder, source, settings_path, log).run()
 
     anyio.run(serve, backend_options={"use_uvloop": True})
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/egrethook/platform/store_reading.py
+++ b/egrethook/platform/store_reading.py
@@ -38,7 +38,10 @@
         If it has not.
     """
     body = _decode(_WATCH, response)
-    return Changes(after, max(after, body.current_rev), _items(body.events))
+    # `currentRev` moves on while a watch is held back from the events before it, so
+    # only what was told counts as held.
+    told = max((event.revision for event in body.events), default=after)
+    return Changes(after, max(after, told), _items(body.events))
 
 
 class RangeReading:
--- a/egrethook/wire/gossip/ttypes.py
+++ b/egrethook/wire/gossip/ttypes.py
@@ -235,15 +235,17 @@
      - name
      - revision
      - value
+     - packed
 
     """
 
 
-    def __init__(self, kind=None, name=None, revision=None, value=None,):
+    def __init__(self, kind=None, name=None, revision=None, value=None, packed=None,):
         self.kind = kind
         self.name = name
         self.revision = revision
         self.value = value
+        self.packed = packed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -274,6 +276,11 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.packed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -300,6 +307,10 @@
             oprot.writeFieldBegin('value', TType.STRING, 4)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
+        if self.packed is not None:
+            oprot.writeFieldBegin('packed', TType.BOOL, 5)
+            oprot.writeBool(self.packed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -510,6 +521,7 @@
     (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+    (5, TType.BOOL, 'packed', None, None, ),  # 5
 )
 all_structs.append(Delta)
 Delta.thrift_spec = (
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -21,6 +21,7 @@
   2: string name,
   3: i64 revision,
   4: optional binary value,
+  5: bool packed,
 }
 
 struct Delta {
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -22,6 +22,7 @@
 from egrethook.balancers.gossip_members import MEMBER_TIMEOUT_S, GossipMembers
 from egrethook.discovery.catalog import Catalog
 from egrethook.discovery.follower import RegistryFollower
+from egrethook.discovery.http_client import HttpClient
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
 from egrethook.discovery.replica import Replica
 from egrethook.emulator.builders import ManualClock
@@ -341,6 +342,25 @@
     assert len(names(newcomer.catalog)) == 199
 
 
+def test_long_value_reaches_everybody_compressed_and_only_where_asked_for():
+    fleet = Fleet(12)
+    fleet.beat(5)
+    routes = [f'{{"name":"r-{n}","host":"198.18.0.{n % 250}"}}' for n in range(1_760)]
+    value = ("[" + ",".join(routes) + "]").encode()
+    assert len(value) > 60_000
+    snapshot = Snapshot([item("a", 1), item("routes", 7, value)], 7)
+    fleet.replicas[0].take_snapshot(snapshot, fleet.clock.now())
+    fleet.beat(6)
+    assert {replica.revision for replica in fleet.replicas} == {7}
+    held = {
+        replica.catalog.get(ItemKind.UPSTREAM, "routes").value
+        for replica in fleet.replicas
+    }
+    assert held == {value}
+    sent = sum(gossip.bytes_sent for gossip in fleet.wire.gossips.values())
+    assert sent < 12 * 4 * 15_000
+
+
 def test_member_that_was_cut_off_catches_up():
     fleet = Fleet(4)
     fleet.beat(3)
@@ -384,3 +404,47 @@
 def test_negative_revision_is_refused(revision):
     with pytest.raises(BadMessageError):
         decode(encode(Digest(member(1), revision, 0.1, ())))
+
+
+def test_long_answer_may_take_its_time_while_it_makes_progress():
+    body = b"x" * 400
+
+    async def slow_server(stream):
+        async with stream:
+            await stream.receive()
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n"
+            await stream.send(head)
+            for start in range(0, 400, 100):
+                await anyio.sleep(0.1)
+                await stream.send(body[start : start + 100])
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            tasks.start_soon(listener.serve, slow_server)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            client = HttpClient(Address("127.0.0.1", port))
+            response = await client.get("/kv-range", 0.2)
+            assert response.body == body
+            await client.aclose()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_silent_server_is_given_up():
+    async def silent_server(stream):
+        async with stream:
+            await anyio.sleep_forever()
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            tasks.start_soon(listener.serve, silent_server)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            client = HttpClient(Address("127.0.0.1", port))
+            with pytest.raises(SourceUnavailableError):
+                await client.get("/kv-range", 0.2)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,161 @@
+"""Log lines and the way from a flow to its cause."""
+
+from __future__ import annotations
+
+import json
+import os
+
+import pytest
+
+from egrethook.exceptions import FlowNotFoundError
+from egrethook.line_log import DECISION_BURST, DECISIONS_PER_S, LineLog
+from egrethook.logs import PartLog, set_destination
+from egrethook.operators.commands import EgrethookApplication, ExplainCommand
+from egrethook.operators.explain import explain, read_lines
+
+
+class Time:
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def bytes_of(reader):
+    os.set_blocking(reader, False)
+    data = b""
+    while True:
+        try:
+            data += os.read(reader, 1 << 16)
+        except BlockingIOError:
+            return data
+
+
+def lines_of(reader):
+    return [json.loads(line) for line in bytes_of(reader).splitlines()]
+
+
+def test_line_has_the_layout_that_eliot_writes(pipe):
+    reader, writer = pipe
+    previous = set_destination(LineLog(writer, "vm-1"))
+    try:
+        PartLog("flows").decision("an opening is refused.", flow="a>b", waiting=3)
+    finally:
+        set_destination(previous)
+    (line,) = lines_of(reader)
+    assert line["message"] == "flows: an opening is refused."
+    assert line["message_type"] == "egrethook:flows"
+    assert line["process"] == "vm-1" and line["waiting"] == 3
+    assert {"timestamp", "task_uuid", "task_level"} <= line.keys()
+
+
+def test_flood_of_decisions_is_bounded_and_counted(pipe):
+    reader, writer = pipe
+    time = Time()
+    log = LineLog(writer, "vm-1", time)
+    written = []
+    for step in range(5_000):
+        time.now = step / 1_000
+        log.write("decision", "flows", "an opening is refused.", {"n": step})
+        if step % 50 == 0:
+            written += lines_of(reader)
+    written += lines_of(reader)
+    decisions = [line for line in written if line["level"] == "decision"]
+    messages = [line["message"] for line in written]
+    assert len(decisions) <= DECISION_BURST + 5 * DECISIONS_PER_S + 1
+    assert len(decisions) + log.left_out == 5_000
+    assert 3 <= messages.count("log: lines were left out.") <= 6
+
+
+def test_full_pipe_never_blocks_and_loses_only_lines(pipe):
+    reader, writer = pipe
+    time = Time()
+    log = LineLog(writer, "vm-1", time)
+    for _ in range(2_000):
+        time.now += 1.0
+        log.write("info", "view", "a record has changed.", {"pad": "x" * 400})
+    assert log.left_out > 0
+    log.write("info", "view", "the last line.", {})
+    data = b""
+    for _ in range(20):
+        data += bytes_of(reader)
+        log.flush()
+    lines = [json.loads(line) for line in data.splitlines()]
+    events = [line for line in lines if line["level"] == "info"]
+    assert len(events) + log.left_out >= 2_001
+
+
+FLOW = "100.64.0.7:40001>198.18.0.1:443"
+LINES = [
+    {
+        "timestamp": 10.0,
+        "process": "vm-1",
+        "level": "warning",
+        "message": "health: an upstream leaves openings unanswered.",
+        "upstream": "i-1",
+        "silent_openings": 2,
+    },
+    {
+        "timestamp": 11.0,
+        "process": "vm-1",
+        "level": "decision",
+        "message": "flows: an opening is sent to an upstream.",
+        "flow": FLOW,
+        "upstream": "i-2",
+        "failure_domain": "zone-b",
+        "attempt": 1,
+        "candidates": 4,
+        "open_flows": 1,
+        "waited_ms": 0,
+        "version": 7,
+        "revision": 41,
+    },
+    {
+        "timestamp": 11.05,
+        "process": "vm-1",
+        "level": "decision",
+        "message": "flows: an opening had no answer; it went to a further upstream.",
+        "flow": FLOW,
+        "silent": "i-2",
+        "silent_openings": 1,
+        "upstream": "i-3",
+    },
+    {"timestamp": 11.1, "process": "vm-2", "message": "view: other.", "level": "info"},
+]
+
+
+def texts():
+    yield " -1.2 vm-1 " + json.dumps(LINES[0])
+    yield from (json.dumps(line) for line in LINES[1:])
+    yield '{"timestamp": 3, "mess'
+    yield "Traceback (most recent call last):"
+
+
+def test_flow_is_told_in_order_with_what_its_process_believed():
+    told = explain(read_lines(texts()), "100.64.0.7:40001")
+    assert told[0] == f"flow {FLOW}"
+    assert "sent to i-2 (zone-b; attempt 1, 4 candidates" in told[1]
+    assert "i-2 did not answer" in told[2]
+    assert "an upstream leaves openings unanswered" in told[4]
+    assert not any("vm-2" in text for text in told)
+
+
+def test_unknown_flow_is_a_coded_error(tmp_path):
+    path = tmp_path / "vm.log"
+    path.write_text("\n".join(texts()))
+    from cleo.testers.command_tester import CommandTester
+
+    command = ExplainCommand()
+    command.set_application(EgrethookApplication())
+    tester = CommandTester(command)
+    assert tester.execute(f"40001 {path}") == 0
+    with pytest.raises(FlowNotFoundError, match="E503"):
+        tester.execute(f"50000 {path}")
