Model the spread of changes; never claim more than is held

Writing the model showed that a delta that is cut short could name a revision beyond what its sender holds completely: the receiver would have skipped the gap for good.

--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -99,7 +99,9 @@
         for count, item in enumerate(newer):
             size += size_of(item)
             if count and size > limit_bytes:
-                return Changes(after, newer[count - 1].revision, newer[:count])
+                # What is held beyond `revision` may have gaps before it.
+                upto = min(newer[count - 1].revision, self._revision)
+                return Changes(after, max(after, upto), newer[:count])
         return Changes(after, max(after, self._revision), newer)
 
     def _merge(self, items: Iterable[PublishedItem]) -> list[PublishedItem]:
--- a/specs/check.sh
+++ b/specs/check.sh
@@ -30,4 +30,8 @@
 check right_to_run at_most_once 1 -DANY_HEIR
 check configuration never_reverts 0
 check configuration never_reverts 1 -DNO_ORDER
+check gossip complete_is_true 0
+check gossip value_never_reverts 0
+check gossip complete_is_true 1 -DTRUST_GAPS
+check gossip value_never_reverts 1 -DNO_ORDER
 exit "$failed"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -82,6 +82,14 @@
     assert rounds == 6
 
 
+def test_part_of_the_changes_never_claims_more_than_is_held():
+    catalog = Catalog()
+    catalog.replace(Snapshot([item("a", 1)], 2))
+    beyond_a_gap = [item(f"up-{n}", n, b"v" * 50) for n in range(7, 12)]
+    catalog.apply(Changes(6, 11, beyond_a_gap))
+    assert catalog.since(0, 120).revision <= 2
+
+
 @given(st.integers(0, 2**32))
 def test_replicas_that_exchange_deltas_in_any_order_agree(seed):
     rng = random.Random(seed)
