--- a/Makefile
+++ b/Makefile
@@ -17,9 +17,10 @@
 test: install  ## Install and run the tests.
 	$(BIN)/python -m pytest
 
-lint: install  ## Check formatting and style.
+lint: install  ## Check formatting, style and types.
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
+	$(BIN)/mypy
 
 wire:  ## Generate the thrift code anew; needs the thrift compiler.
 	for file in idl/*.thrift; do thrift --gen py -out . $$file; done
--- a/egrethook/balancers/placement.py
+++ b/egrethook/balancers/placement.py
@@ -240,8 +240,10 @@
         mine = executor.pool.fills_here(packet.service_name)
         candidates = configuration.candidates(packet.service_name)
         step = compare_flow_owners(mine, tried, candidates, self._rng)
-        target = step and configuration.endpoint(packet.service_name, step.upstream)
-        if step is None or target is None:
+        if step is None:
+            return False
+        target = configuration.endpoint(packet.service_name, step.upstream)
+        if target is None:
             return False
         self._ask(packet, raw, target, tried or mine, hops, step.queue)
         return True
--- a/egrethook/codec.py
+++ b/egrethook/codec.py
@@ -69,7 +69,7 @@
     def read(self, data: bytes, target: Any, struct_type: type) -> Any:
         """Set the fields of a target from the compact form of a struct."""
         self._buffer.cstringio_buf = BytesIO(data)
-        arguments = [struct_type, struct_type.thrift_spec]
+        arguments = [struct_type, struct_type.thrift_spec]  # type: ignore[attr-defined]
         self._decode(target, self._protocol, arguments)
         return target
 
@@ -97,7 +97,7 @@
 
     def __init__(self, struct_type: type, message_type: type) -> None:
         self._struct_type = struct_type
-        self._adapter = TypeAdapter(message_type)
+        self._adapter: TypeAdapter[Any] = TypeAdapter(message_type)
         self._reader = StructReader(DATAGRAM_LIMIT)
 
     def encode(self, message: Any) -> bytes:
@@ -145,7 +145,9 @@
         self._union_type = union_type
         self._limit = limit
         self._names = {message_type: arm for arm, message_type in arms.items()}
-        self._adapters = {arm: TypeAdapter(cls) for arm, cls in arms.items()}
+        self._adapters: dict[str, TypeAdapter[Any]] = {
+            arm: TypeAdapter(cls) for arm, cls in arms.items()
+        }
         self._reader = StructReader(limit)
 
     def encode(self, message: Any) -> bytes:
--- a/egrethook/daemon.py
+++ b/egrethook/daemon.py
@@ -63,7 +63,7 @@
 
 def first_error(group: BaseExceptionGroup) -> EgrethookError | None:
     """Return the first error of the package inside an exception group."""
-    matching, _ = group.split(EgrethookError)
+    matching: BaseException | None = group.split(EgrethookError)[0]
     while isinstance(matching, BaseExceptionGroup):
         matching = matching.exceptions[0]
     return matching if isinstance(matching, EgrethookError) else None
--- a/egrethook/datagrams.py
+++ b/egrethook/datagrams.py
@@ -45,7 +45,7 @@
         """Datagrams that the kernel did not take."""
         return self._dropped
 
-    def send(self, address: Address, data: bytes) -> None:
+    def send(self, address: tuple[str, int], data: bytes) -> None:
         """Send a datagram; it is dropped if the kernel has no room."""
         try:
             self._socket.sendto(data, address)
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from zlib import crc32
 
 from egrethook.callers.flow_dispatch import FlowDispatcher
@@ -320,7 +321,7 @@
         port = call.port
         self._send_opening(call, port, 0)
         for copy, delay_s in enumerate(COPY_DELAYS_S, start=1):
-            self.after(delay_s, lambda copy=copy: self._send_opening(call, port, copy))
+            self.after(delay_s, partial(self._send_opening, call, port, copy))
         self.after(GIVE_UP_S, lambda: self._end_attempt(call, port))
 
     def _send_opening(self, call: Call, port: int, copy: int) -> None:
--- a/egrethook/emulator/platform.py
+++ b/egrethook/emulator/platform.py
@@ -77,8 +77,8 @@
             index[kind] = {**index.get(kind, {}), name: revision}
         raw_index = render(validate(index))
         self._index = index
-        values = {**self._state_now.values, **rendered}
-        self._show(PublishedState(revision, raw_index, values))
+        shown = {**self._state_now.values, **rendered}
+        self._show(PublishedState(revision, raw_index, shown))
         return revision
 
     def _show(self, state: PublishedState) -> None:
--- a/egrethook/emulator/runner.py
+++ b/egrethook/emulator/runner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
 
@@ -25,7 +27,7 @@
 
 async def run_stand_in(settings: StandInSettings) -> None:
     """Run a stand-in until cancelled."""
-    runners = {
+    runners: dict[type, Callable[[Any], Awaitable[None]]] = {
         PlatformSettings: _run_platform,
         UpstreamSettings: _run_upstream,
         FabricSettings: _run_fabric,
--- a/egrethook/emulator/virtual.py
+++ b/egrethook/emulator/virtual.py
@@ -51,7 +51,7 @@
     import trio._core._run as scheduler
     from trio.testing import MockClock
 
-    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[misc]
     scheduler._r = random.Random(seed)
     random.seed(seed)
     return anyio.run(
--- a/egrethook/emulator/virtualnet.py
+++ b/egrethook/emulator/virtualnet.py
@@ -6,7 +6,8 @@
 import itertools
 import math
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import anyio
 import anyio.lowlevel
@@ -19,7 +20,7 @@
 LOCAL_DELAY_S = 0.0002
 """One-way delay inside a failure domain, in seconds."""
 
-Handler = Callable[[ByteStream], Awaitable[None]]
+Handler = Callable[[Any], Coroutine[Any, Any, None]]
 
 
 class VirtualNetwork:
--- a/egrethook/platform/store_messages.py
+++ b/egrethook/platform/store_messages.py
@@ -180,23 +180,20 @@
 
 
 def _route(entry: _RouteEntry) -> Route:
+    shares = [WeightedService(one.service, one.weight) for one in entry.split]
     if entry.service is not None:
-        services = (WeightedService(entry.service, 1),)
-    else:
-        services = tuple(
-            WeightedService(one.service, one.weight) for one in entry.split
-        )
+        shares = [WeightedService(entry.service, 1)]
     try:
         octets = [int(part) for part in entry.host.split(".")]
         address = int.from_bytes(bytes(octets), "big"), int(entry.prefix.strip("/"))
     except ValueError:
         raise DocumentError(f"{entry.name}: bad address or port") from None
-    if not services:
+    if not shares:
         raise DocumentError(f"{entry.name}: no service")
     return Route(
         name=entry.name,
         address=address,
-        services=services,
+        services=tuple(shares),
         priority=entry.priority,
         timeout_s=entry.timeout_ms / 1000.0,
         objective_s=entry.slo_ms / 1000.0,
--- a/egrethook/tracing.py
+++ b/egrethook/tracing.py
@@ -45,7 +45,7 @@
 
 def span_fields(span: ReadableSpan) -> dict[str, str | int]:
     """Return what identifies a span, as plain fields."""
-    context = span.get_span_context()
+    context = span.get_span_context() or trace.INVALID_SPAN_CONTEXT
     parent = span.parent
     return {
         "span": span.name,
--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -113,8 +113,7 @@
     def _claim_token(self, upstream: Upstream) -> None:
         """Give a token to the lowest name of those that share it."""
         holder = self._by_token.get(upstream.token)
-        taken = holder is not None and holder.gone_at is None
-        if not taken or upstream.name <= holder.name:
+        if holder is None or holder.gone_at is not None or upstream.name <= holder.name:
             self._by_token[upstream.token] = upstream
 
     def _index(self) -> None:
