--- a/egrethook/forwarder_settings.py
+++ b/egrethook/forwarder_settings.py
@@ -11,45 +11,42 @@
 from egrethook.exceptions import SettingsError
 from egrethook.logs import PartLog
 
-PortText = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
 
+def _says(description: str, **bounds: float) -> msgspec.Meta:
+    """Return the description and the bounds of a key."""
+    return msgspec.Meta(description=description, **bounds)  # type: ignore[call-overload]
 
-class ForwarderSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """What a forwarding process learns at its start.
 
-    Parameters
-    ----------
-    packets : str
-        The address that the fabric sends callers' packets to.
-    peers : str
-        The address for other balancers.
-    probes : str
-        The address of the readiness probe.
-    registry : str
-        The address of the service registry.
-    known_peers : list of str
-        Other balancers to ask first; they may be stale.
-    metrics_port : int
-        Where metrics are served, at the address of `packets`.
-    flow_life_s : float
-        The longest life of a flow, in seconds.
-    flow_limit : int
-        Most open flows of one upstream through this process.
-    leave_s : float
-        How long a process forwards after it was told to leave, in seconds.
-    """
+def _address(description: str) -> msgspec.Meta:
+    """Return the description of a key that holds host:port."""
+    return msgspec.Meta(description=description, pattern=r"^[0-9.]+:[0-9]+$")
+
 
-    name: str
-    failure_domain: str
-    packets: PortText
-    peers: PortText
-    probes: PortText
-    registry: PortText
-    known_peers: list[PortText] = []
-    metrics_port: Annotated[int, msgspec.Meta(ge=1, le=65535)] = 9464
-    flow_life_s: Annotated[float, msgspec.Meta(gt=0)] = 60.0
-    flow_limit: Annotated[int, msgspec.Meta(ge=1)] = 3
-    leave_s: Annotated[float, msgspec.Meta(ge=0)] = 2.0
+class ForwarderSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """What a forwarding process learns at its start."""
+
+    name: Annotated[str, _says("this process, in its log lines")]
+    failure_domain: Annotated[str, _says("where this VM stands")]
+    packets: Annotated[str, _address("host:port for callers' packets")]
+    peers: Annotated[str, _address("host:port for other balancers")]
+    probes: Annotated[str, _address("host:port of the readiness probe")]
+    registry: Annotated[str, _address("host:port of the service registry")]
+    known_peers: Annotated[
+        list[Annotated[str, _address("host:port")]],
+        _says("other balancers to ask first; they may be stale"),
+    ] = []
+    metrics_port: Annotated[
+        int, _says("where metrics are served, at the host of `packets`", ge=1, le=65535)
+    ] = 9464
+    flow_life_s: Annotated[float, _says("longest life of a flow, in seconds", gt=0)] = (
+        60.0
+    )
+    flow_limit: Annotated[
+        int, _says("most open flows of one upstream through this process", ge=1)
+    ] = 3
+    leave_s: Annotated[
+        float, _says("forward so long after being told to leave, in seconds", ge=0)
+    ] = 2.0
 
     @property
     def seeds(self) -> list[Address]:
--- a/egrethook/operators/checks.py
+++ b/egrethook/operators/checks.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from egrethook.exceptions import DocumentError
+from egrethook.forwarder_settings import load_forwarder_settings
 from egrethook.published.documents import Document, load_yaml, validate
 from egrethook.settings import parse_settings, read_text
 
@@ -28,6 +29,9 @@
     if isinstance(plain, dict) and "kind" in plain:
         document = _validate(plain, path)
         return f"{path}: a valid value of kind {document.kind}"
+    if isinstance(plain, dict) and "packets" in plain:
+        forwarder = load_forwarder_settings(str(path))
+        return f"{path}: valid settings of forwarding process {forwarder.name}"
     settings = parse_settings(text, str(path))
     return f"{path}: valid settings of balancer {settings.name}"
 
--- a/egrethook/operators/reference.py
+++ b/egrethook/operators/reference.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 from pydantic import BaseModel
 
 from egrethook.emulator.settings import (
@@ -13,6 +14,7 @@
     UpstreamSettings,
 )
 from egrethook.exceptions import DocumentError, error_classes
+from egrethook.forwarder_settings import ForwarderSettings
 from egrethook.published import documents
 from egrethook.settings import BalancerSettings
 from egrethook.verdicts import Refusal, Verdict
@@ -39,10 +41,9 @@
 def settings_page() -> str:
     """Return the page of all settings with defaults and bounds."""
     parts = ["# Settings and configuration values\n", MADE]
+    parts += [*_heading("Settings of a forwarding process"), *_forwarder_rows()]
     for title, model in SETTINGS_MODELS:
-        parts.append(f"\n## {title}\n")
-        parts.append("| key | type | default | bounds | meaning |")
-        parts.append("|---|---|---|---|---|")
+        parts += _heading(title)
         properties = model.model_json_schema()["properties"]
         for name, field in model.model_fields.items():
             schema = properties[name]
@@ -58,6 +59,33 @@
     return "\n".join(parts) + "\n"
 
 
+def _heading(title: str) -> list[str]:
+    return [
+        f"\n## {title}\n",
+        "| key | type | default | bounds | meaning |",
+        "|---|---|---|---|---|",
+    ]
+
+
+def _forwarder_rows() -> list[str]:
+    """Return the rows of the settings that msgspec checks."""
+    schema = msgspec.json.schema(ForwarderSettings)["$defs"]["ForwarderSettings"]
+    rows = []
+    for name, field in schema["properties"].items():
+        default = "required"
+        if name not in schema["required"]:
+            default = f"`{field['default']}`"
+        cells = (
+            f"`{name}`",
+            _type_name(field),
+            default,
+            _bounds(field),
+            field.get("description", ""),
+        )
+        rows.append("| " + " | ".join(cells) + " |")
+    return rows
+
+
 def _default(field: Any) -> str:
     value = field.get_default(call_default_factory=True)
     return "see below" if isinstance(value, BaseModel) else f"`{value}`"
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+from pathlib import Path
 
 import pytest
 from hypothesis import given
@@ -21,7 +22,8 @@
     SettingsError,
     SourceUnavailableError,
 )
-from egrethook.forwarder_settings import load_forwarder_settings
+from egrethook.forwarder_settings import SettingsFile, load_forwarder_settings
+from egrethook.operators.checks import check_file
 from egrethook.platform.packet_header import HEADER, PacketHeader
 from egrethook.platform.store_messages import StoreDecoder
 from egrethook.platform.store_reading import RangeReading, read_watch
@@ -250,6 +252,50 @@
         load_forwarder_settings(str(path))
 
 
+def test_check_command_knows_the_settings(tmp_path):
+    path = tmp_path / "node.yaml"
+    path.write_text(SETTINGS)
+    assert "forwarding process edge-1" in check_file(path)
+    path.write_text(SETTINGS.replace('"failure_domain"', '"zone"'))
+    with pytest.raises(SettingsError, match="failure_domain|zone"):
+        check_file(path)
+
+
+def test_template_yields_valid_settings(tmp_path):
+    """The deploy template, filled in by hand."""
+    text = Path("deploy/forwarder.yaml").read_text()
+    values = {
+        "nodeName": "edge-1",
+        "zone": "sala-bilbao",
+        "listen.datagramAddr": "10.1.0.10:8172",
+        "listen.control": "10.1.0.10:8166",
+        "listen.readiness": "10.1.0.10:8167",
+        "platform.address": "10.200.1.7:8169",
+        "seeds": ["10.1.0.10:8166"],
+        "bounds.maxFlowS": 60,
+    }
+    for name, filled in values.items():
+        text = text.replace("{{" + name + "|json}}", json.dumps(filled))
+    assert "{{" not in text
+    path = tmp_path / "node"
+    path.write_text(text)
+    assert load_forwarder_settings(str(path)).registry == "10.200.1.7:8169"
+
+
+def test_changed_file_is_noticed_and_a_bad_one_changes_nothing(tmp_path):
+    path = tmp_path / "node"
+    path.write_text(SETTINGS)
+    file = SettingsFile(str(path), load_forwarder_settings(str(path)))
+    assert not file.has_changed()
+    path.write_text(SETTINGS.replace('"name"', '"flow_limit": 5, "name"'))
+    assert file.has_changed()
+    assert file.reload().flow_limit == 5
+    path.write_text("{")
+    assert file.has_changed()
+    assert file.reload() is None
+    assert not file.has_changed()
+
+
 def test_missing_settings_file_is_named():
     with pytest.raises(SettingsError, match="nowhere"):
         load_forwarder_settings("nowhere")
