--- a/egrethook/forwarder_settings.py
+++ b/egrethook/forwarder_settings.py
@@ -46,7 +46,7 @@
     ] = 3
     leave_s: Annotated[
         float, _says("forward so long after being told to leave, in seconds", ge=0)
-    ] = 2.0
+    ] = 1.3
 
     @property
     def seeds(self) -> list[Address]:
--- a/egrethook/forwarder_start.py
+++ b/egrethook/forwarder_start.py
@@ -24,6 +24,7 @@
 from egrethook.forwarder import Forwarder
 from egrethook.interleaving import Interleaved
 from egrethook.logs import PartLog
+from egrethook.operators.early_probes import EarlyProbes
 
 POLL_MS = 10
 """Longest wait for packets before due work is looked at, in milliseconds."""
@@ -97,11 +98,19 @@
         self._registry = Address.parse(forwarder.settings.registry)
         self._call: _RegistryCall | None = None
         self._retry_at = 0.0
+        self._probes = EarlyProbes(
+            Address.parse(forwarder.settings.probes), self._is_ready
+        )
 
     def run(self) -> None:
         """Serve until the libraries are loaded."""
         _LOG.info("the process starts.")
         began = self._clock.now()
+        with self._probes:
+            self._serve(began)
+        _LOG.info("the libraries are loaded.")
+
+    def _serve(self, began: float) -> None:
         try:
             while self._waits_for_view(began):
                 self._step(POLL_MS)
@@ -113,7 +122,9 @@
         finally:
             if self._call is not None:
                 self._call.close()
-        _LOG.info("the libraries are loaded.")
+
+    def _is_ready(self) -> bool:
+        return self._forwarder.ready
 
     def _waits_for_view(self, began: float) -> bool:
         """Return whether the first reading is still worth waiting for."""
@@ -133,7 +144,9 @@
         poll.register(self._forwarder.socket.fileno(), select.POLLIN)
         if self._call is not None:
             poll.register(self._call.fileno(), self._call.interest)
+        self._probes.register(poll)
         ready = dict(poll.poll(wait_ms))
+        self._probes.handle(ready)
         if self._call is not None and self._call.fileno() in ready:
             self._advance()
         self._forwarder.serve_ready()
--- /dev/null
+++ b/egrethook/operators/early_probes.py
@@ -0,0 +1,91 @@
+"""Answers readiness probes before there is an event loop."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Callable, Container
+from types import TracebackType
+from typing import Self
+
+from egrethook.addresses import Address
+
+READY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+NOT_READY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+BACKLOG = 16
+"""Connections that wait to be accepted."""
+
+REQUEST_BYTES = 4_096
+"""Longest part of a request that is read at once, in bytes."""
+
+
+class EarlyProbes:
+    """Owns a listening socket and its connections; never blocks.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    is_ready : callable
+        Returns whether this process serves.
+    """
+
+    def __init__(self, address: Address, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+        self._connections: dict[int, socket.socket] = {}
+        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.setblocking(False)
+        self._listener.bind(address)
+        self._listener.listen(BACKLOG)
+
+    def register(self, poll: select.poll) -> None:
+        """Have a poll object wait for probes."""
+        poll.register(self._listener.fileno(), select.POLLIN)
+        for descriptor in self._connections:
+            poll.register(descriptor, select.POLLIN)
+
+    def handle(self, ready: Container[int]) -> None:
+        """Take what has arrived at the descriptors that are ready."""
+        for descriptor in list(self._connections):
+            if descriptor in ready:
+                self._answer(descriptor)
+        if self._listener.fileno() in ready:
+            self._accept()
+
+    def _accept(self) -> None:
+        try:
+            connection, _ = self._listener.accept()
+        except OSError:
+            # The prober has left already.
+            return
+        connection.setblocking(False)
+        self._connections[connection.fileno()] = connection
+
+    def _answer(self, descriptor: int) -> None:
+        connection = self._connections[descriptor]
+        try:
+            data = connection.recv(REQUEST_BYTES)
+            if data:
+                connection.send(READY if self._is_ready() else NOT_READY)
+                return
+        except OSError:
+            # A broken connection is closed like one that has ended.
+            pass
+        del self._connections[descriptor]
+        connection.close()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
+        self._listener.close()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import os
+import select
+import socket
 import subprocess
 import sys
 import sysconfig
 
+from egrethook.addresses import Address
 from egrethook.interleaving import Interleaved
+from egrethook.operators.early_probes import EarlyProbes
 
 NOT_EARLY = {
     "anyio",
@@ -60,3 +64,37 @@
         __import__("slow_0")
     assert len(steps) >= 4
     assert not any(type(one) is Interleaved for one in sys.meta_path)
+
+
+def test_probes_are_answered_without_an_event_loop():
+    ready = []
+    address = Address("127.0.0.1", free_port())
+    with EarlyProbes(address, lambda: bool(ready)) as probes:
+        prober = socket.create_connection(address)
+        prober.settimeout(2.0)
+
+        def probe():
+            prober.sendall(b"GET /readyz HTTP/1.1\r\nHost: vm\r\n\r\n")
+            for _ in range(5):
+                poll = select.poll()
+                probes.register(poll)
+                probes.handle(dict(poll.poll(100)))
+            return prober.recv(100)
+
+        assert b" 503 " in probe()
+        ready.append(True)
+        assert b" 200 " in probe()
+        prober.close()
+        for _ in range(3):
+            poll = select.poll()
+            probes.register(poll)
+            probes.handle(dict(poll.poll(50)))
+    with socket.socket() as again:
+        again.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        again.bind(address)
+
+
+def free_port():
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return one.getsockname()[1]
