A fault soak of real processes; leave a silent failure domain at once

egrethook soak: the real program on loopback addresses, behind proxies that delay, reset, cut one way and silence, under kills, pauses, SIGTERM, SIGHUP, changes and withdrawals in series and overlapping; callers and upstreams check routes, resets, drains, domains out, exits, shutdown and recovery.

--- /dev/null
+++ b/egrethook/emulator/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real forwarding processes under faults from outside."""
--- /dev/null
+++ b/egrethook/emulator/soak/fleet.py
@@ -0,0 +1,226 @@
+"""The forwarding processes of a soak, and the router before them."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+import anyio
+import httpx
+import msgspec
+
+from egrethook.addresses import Address
+from egrethook.emulator.soak.peers import Violation, rendezvous
+from egrethook.emulator.soak.proxy import FaultyProxy
+
+ROOT = Path(__file__).parents[3]
+PROGRAM = ROOT / "deploy" / "forwarder.py"
+"""What the platform starts on each VM."""
+
+PROBE_S = 0.5
+"""Time between two readiness probes, in seconds."""
+
+PROBE_TIMEOUT_S = 0.4
+"""Time in which a probe is answered, in seconds."""
+
+MISSES = 2
+"""Probes in a row without 200 after which a VM is out of rotation."""
+
+TOUCH_S = 4.0
+"""Time after a disturbance in which bounds do not hold for a VM, in seconds."""
+
+GRACE_S = 6.0
+"""Time that a process has to end after SIGTERM, in seconds."""
+
+PEER_OFFSET, PROBE_OFFSET, METRICS_OFFSET, PROXY_OFFSET = 1, 2, 3, 4
+
+
+@dataclass
+class SoakVm:
+    """One VM: its process and the proxy between it and the store."""
+
+    name: str
+    domain: str
+    host: str
+    port: int
+    proxy: FaultyProxy
+    process: subprocess.Popen[bytes] | None = None
+    disturbed_at: float = float("-inf")
+    expected_down: bool = False
+    misses: int = MISSES
+    incarnation: int = 0
+    log_path: Path = field(default_factory=Path)
+
+    @property
+    def packets(self) -> Address:
+        """Where the router sends packets."""
+        return Address(self.host, self.port)
+
+    def disturb(self) -> None:
+        """Note that bounds do not hold for a while."""
+        self.disturbed_at = time.monotonic()
+
+    def in_touch_since(self, moment: float) -> bool:
+        """Return whether nothing disturbed the VM from a while before a moment on."""
+        return self.disturbed_at < moment - TOUCH_S
+
+
+class SoakFleet:
+    """Owns the processes; ends those that it started, by their ids.
+
+    Parameters
+    ----------
+    vms : list of SoakVm
+        The VMs.
+    folder : Path
+        Where settings and logs go.
+    violations : list of Violation
+        Takes what breaks a promise.
+    """
+
+    def __init__(
+        self, vms: list[SoakVm], folder: Path, violations: list[Violation]
+    ) -> None:
+        self._vms = vms
+        self._folder = folder
+        self._violations = violations
+        self._client = httpx.AsyncClient(timeout=PROBE_TIMEOUT_S, trust_env=False)
+
+    @property
+    def vms(self) -> list[SoakVm]:
+        """The VMs."""
+        return self._vms
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for vm in self._vms:
+            self.kill(vm)
+        with anyio.CancelScope(shield=True):
+            await self._client.aclose()
+
+    # Processes ---------------------------------------------------------------------
+
+    def write_settings(self, vm: SoakVm, **changes: object) -> Path:
+        """Write the settings file of a VM."""
+        seeds = [f"{one.host}:{one.port + PEER_OFFSET}" for one in self._vms[:3]]
+        settings = {
+            "name": vm.name,
+            "failure_domain": vm.domain,
+            "packets": f"{vm.host}:{vm.port}",
+            "peers": f"{vm.host}:{vm.port + PEER_OFFSET}",
+            "probes": f"{vm.host}:{vm.port + PROBE_OFFSET}",
+            "registry": f"{vm.host}:{vm.port + PROXY_OFFSET}",
+            "metrics_port": vm.port + METRICS_OFFSET,
+            "known_peers": seeds,
+            **changes,
+        }
+        path = self._folder / f"{vm.name}.yaml"
+        path.write_bytes(msgspec.json.encode(settings))
+        return path
+
+    def start(self, vm: SoakVm) -> None:
+        """Start the process of a VM."""
+        path = self.write_settings(vm)
+        vm.incarnation += 1
+        vm.log_path = self._folder / f"{vm.name}-{vm.incarnation}.log"
+        vm.disturb()
+        vm.expected_down = False
+        with open(vm.log_path, "wb") as log:
+            vm.process = subprocess.Popen(
+                [sys.executable, str(PROGRAM)],
+                env={
+                    **os.environ,
+                    "EGRETHOOK_CONFIG": str(path),
+                    "PYTHONPATH": str(ROOT),
+                },
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def kill(self, vm: SoakVm) -> None:
+        """End a process at once."""
+        vm.disturb()
+        vm.expected_down = True
+        if vm.process is not None and vm.process.poll() is None:
+            vm.process.kill()
+            vm.process.wait()
+
+    async def terminate(self, vm: SoakVm) -> None:
+        """Ask a process to end, as the platform does."""
+        vm.disturb()
+        vm.expected_down = True
+        process = vm.process
+        if process is None or process.poll() is not None:
+            return
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        with anyio.move_on_after(GRACE_S):
+            while process.poll() is None:
+                await anyio.sleep(0.05)
+        if process.poll() is None:
+            what = f"{vm.name} did not end within {GRACE_S:g} s of SIGTERM"
+            self._violations.append(Violation(time.monotonic(), "shutdown", what))
+            process.kill()
+        elif process.returncode != 0 and vm.log_path.stat().st_size:
+            # One that has logged nothing had not begun.
+            what = f"{vm.name} ended with {process.returncode} after SIGTERM"
+            self._violations.append(Violation(time.monotonic(), "shutdown", what))
+        process.wait()
+
+    def signal(self, vm: SoakVm, number: signal.Signals) -> None:
+        """Send a signal to a process that runs."""
+        if vm.process is not None and vm.process.poll() is None:
+            vm.process.send_signal(number)
+
+    def check_processes(self) -> None:
+        """Note processes that have ended by themselves."""
+        for vm in self._vms:
+            ended = vm.process is not None and vm.process.poll() is not None
+            if ended and not vm.expected_down:
+                assert vm.process is not None
+                what = f"{vm.name} ended by itself with {vm.process.returncode}"
+                self._violations.append(Violation(time.monotonic(), "exit", what))
+                vm.expected_down = True
+
+    # Router ----------------------------------------------------------------------
+
+    async def probe(self, vm: SoakVm) -> None:
+        """Probe one VM until cancelled."""
+        url = f"http://{vm.host}:{vm.port + PROBE_OFFSET}/readyz"
+        while True:
+            try:
+                response = await self._client.get(url)
+                ready = response.status_code == httpx.codes.OK
+            except httpx.HTTPError:
+                ready = False
+            vm.misses = 0 if ready else vm.misses + 1
+            await anyio.sleep(PROBE_S)
+
+    def choose_vm(self, domain: str, flow: bytes) -> Address | None:
+        """Return the VM of a flow of a caller in a failure domain."""
+        own = [vm for vm in self._vms if vm.domain == domain]
+        rotation = [vm for vm in own if vm.misses < MISSES]
+        if len(rotation) * 2 < len(own):
+            rotation = own
+        return rendezvous(flow, [vm.packets for vm in rotation])
+
+
+def pick(rng: random.Random, vms: list[SoakVm], share: float) -> list[SoakVm]:
+    """Return a random part of the VMs, one at least."""
+    count = max(1, round(share * len(vms)))
+    return rng.sample(vms, count)
--- /dev/null
+++ b/egrethook/emulator/soak/peers.py
@@ -0,0 +1,287 @@
+"""Callers and upstreams of unread packets, on real UDP sockets."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from zlib import crc32
+
+import anyio
+
+from egrethook.addresses import Address
+from egrethook.callers.segments import Endpoint
+from egrethook.datagrams import DatagramSocket
+from egrethook.platform.packet_header import ACK, FIN, HEADER, INTENDED, RST, SYN
+
+RETRANSMIT_S = 0.2
+"""Time without an answer after which a caller sends again, in seconds."""
+
+COPY_DELAYS_S = (0.2, 0.6, 1.4)
+"""When a caller sends a copy of its opening, and when it gives up."""
+
+EXCHANGE_LIMIT_S = 3.0
+"""Time in which an exchange on an open flow is answered, in seconds."""
+
+ATTEMPTS = 3
+"""Flows that a caller tries for one request."""
+
+
+def host_number(host: str) -> int:
+    """Return an IPv4 address as a number."""
+    octets = bytes(int(part) for part in host.split("."))
+    return int.from_bytes(octets, "big")
+
+
+@dataclass
+class Violation:
+    """A promise that was broken."""
+
+    at: float
+    rule: str
+    what: str
+
+
+class PacketUpstream:
+    """Takes flows, and answers each request with its own name.
+
+    Parameters
+    ----------
+    name, service, domain : str
+        As they stand in the registry.
+    address : Address
+        Where packets arrive.
+    caller_port : int
+        The port that callers listen at.
+    violations : list of Violation
+        Takes what breaks a promise.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        domain: str,
+        address: Address,
+        caller_port: int,
+        violations: list[Violation],
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.address = address
+        self.born_ms = int(time.time() * 1000)
+        self.dark = False
+        self.openings: list[tuple[float, str]] = []
+        self._caller_port = caller_port
+        self._violations = violations
+        self._flows: set[bytes] = set()
+        self._instance = int(name.rpartition("-")[2], 16)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        with DatagramSocket(self.address) as socket:
+            while True:
+                for datagram, source in await socket.receive():
+                    if not self.dark:
+                        self._take(socket, datagram, source[0])
+
+    def _take(self, socket: DatagramSocket, datagram: bytes, vm: str) -> None:
+        (intended,) = INTENDED.unpack_from(datagram)
+        if intended not in (0, self._instance):
+            return
+        packet = datagram[INTENDED.size :]
+        _, sport, dport, src, dst, _, _, flags, echo, _ = HEADER.unpack_from(packet)
+        flow, body = packet[2:14], packet[HEADER.size :]
+        caller = Address(_text(src), self._caller_port)
+
+        def reply(flags: int, data: bytes = b"") -> None:
+            head = HEADER.pack(
+                len(data), dport, sport, dst, src, 9, 0, flags, echo, b"real"
+            )
+            socket.send(caller, head + data)
+
+        if flags & SYN:
+            self.openings.append((time.monotonic(), vm))
+            self._flows.add(flow)
+            reply(SYN | ACK)
+        elif flow not in self._flows:
+            reply(RST)
+        elif flags & (FIN | RST):
+            self._flows.discard(flow)
+            reply(FIN | ACK)
+        elif body:
+            wanted = body.split(b" ", 1)[0].decode()
+            if wanted != self.service:
+                what = f"{self.name} of {self.service} got a request for {wanted}"
+                self._violations.append(Violation(time.monotonic(), "route", what))
+            reply(ACK, self.name.encode() + b" " + body)
+
+
+def _text(number: int) -> str:
+    return ".".join(str(octet) for octet in number.to_bytes(4, "big"))
+
+
+class PacketCaller:
+    """Opens flows through whichever VM the router names.
+
+    Parameters
+    ----------
+    address : Address
+        Where answers arrive.
+    targets : mapping of str to Endpoint
+        The address and port of each service.
+    choose_vm : callable
+        The router: returns where a flow's packets go now.
+    violations : list of Violation
+        Takes what breaks a promise.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        targets: dict[str, Endpoint],
+        choose_vm: Callable[[bytes], Address | None],
+        is_alive: Callable[[str], bool],
+        violations: list[Violation],
+        rng: random.Random,
+    ) -> None:
+        self._address = address
+        self._targets = targets
+        self._choose_vm = choose_vm
+        self._is_alive = is_alive
+        self._violations = violations
+        self._rng = rng
+        self._socket = DatagramSocket(address)
+        self._ports = itertools.count(rng.randrange(1_024, 20_000))
+        self._inboxes: dict[int, _Inbox] = {}
+        self.results: list[tuple[float, bool]] = []
+
+    async def run(self) -> None:
+        """Receive until cancelled."""
+        with self._socket:
+            while True:
+                for datagram, _ in await self._socket.receive():
+                    _, _, port, _, _, _, _, flags, echo, mark = HEADER.unpack_from(
+                        datagram
+                    )
+                    inbox = self._inboxes.get(port)
+                    if inbox is not None:
+                        inbox.put(flags, echo, mark, datagram[HEADER.size :])
+
+    async def request(self, service: str, exchanges: int = 1) -> None:
+        """Open a flow, exchange, and close; try again on a new flow."""
+        began = time.monotonic()
+        for _ in range(ATTEMPTS):
+            if await self._attempt(service, exchanges):
+                self.results.append((began, True))
+                return
+        self.results.append((began, False))
+
+    async def _attempt(self, service: str, exchanges: int) -> bool:
+        port = next(self._ports) % 64_000 + 1_024
+        inbox = self._inboxes[port] = _Inbox()
+        try:
+            if not await self._open(service, port, inbox):
+                return False
+            for number in range(exchanges):
+                if not await self._exchange(service, port, inbox, number):
+                    return False
+                if exchanges > 1:
+                    await anyio.sleep(self._rng.uniform(0.2, 0.8))
+            self._send(service, port, FIN | ACK, inbox.echo)
+            return True
+        finally:
+            del self._inboxes[port]
+
+    async def _open(self, service: str, port: int, inbox: _Inbox) -> bool:
+        began = time.monotonic()
+        for copy, until_s in enumerate(COPY_DELAYS_S):
+            self._send(service, port, SYN, 0, copy)
+            with anyio.move_on_after(began + until_s - time.monotonic()):
+                await inbox.arrived.wait()
+            if inbox.reset:
+                return False
+            if inbox.echo:
+                return True
+        return False
+
+    async def _exchange(
+        self, service: str, port: int, inbox: _Inbox, number: int
+    ) -> bool:
+        wanted = f"{service} {port}-{number}".encode()
+        until = time.monotonic() + EXCHANGE_LIMIT_S
+        while time.monotonic() < until:
+            inbox.renew()
+            self._send(service, port, ACK, inbox.echo, 0, wanted)
+            with anyio.move_on_after(RETRANSMIT_S):
+                await inbox.arrived.wait()
+            if inbox.reset:
+                self._check_reset(inbox)
+                return False
+            upstream, _, echoed = inbox.body.partition(b" ")
+            if echoed == wanted:
+                inbox.upstream = upstream.decode()
+                return True
+        return False
+
+    def _check_reset(self, inbox: _Inbox) -> None:
+        """Note a reset of an open flow that its living upstream did not send."""
+        if inbox.forged and self._is_alive(inbox.upstream):
+            what = f"a flow at {inbox.upstream or 'an upstream'} was reset"
+            self._violations.append(Violation(time.monotonic(), "flow", what))
+
+    def _send(
+        self,
+        service: str,
+        port: int,
+        flags: int,
+        echo: int,
+        copies: int = 0,
+        data: bytes = b"",
+    ) -> None:
+        host, target_port = self._targets[service]
+        source = host_number(self._address.host)
+        packet = HEADER.pack(
+            len(data), port, target_port, source, host, 1, copies, flags, echo, b"real"
+        )
+        vm = self._choose_vm(packet[2:14])
+        if vm is not None:
+            self._socket.send(vm, packet + data)
+
+
+class _Inbox:
+    """What has arrived on one flow."""
+
+    def __init__(self) -> None:
+        self.arrived = anyio.Event()
+        self.echo = 0
+        self.reset = False
+        self.forged = False
+        self.body = b""
+        self.upstream = ""
+
+    def renew(self) -> None:
+        """Wait for something new."""
+        self.arrived = anyio.Event()
+        self.body = b""
+
+    def put(self, flags: int, echo: int, mark: bytes, body: bytes) -> None:
+        """Take a packet."""
+        if flags & RST:
+            self.reset = True
+            self.forged = mark != b"real"
+        elif flags & SYN:
+            self.echo = echo
+        elif flags & FIN:
+            return
+        else:
+            self.body = body
+        self.arrived.set()
+
+
+def rendezvous(flow: bytes, vms: list[Address]) -> Address | None:
+    """Return the VM of a flow by a steady hash."""
+    return max(vms, key=lambda vm: crc32(f"{vm}".encode() + flow), default=None)
--- /dev/null
+++ b/egrethook/emulator/soak/store.py
@@ -0,0 +1,95 @@
+"""A stand-in for the users' store: items with revisions, to read and to watch."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Iterable
+from typing import Any
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+PAGE_ITEMS = 5
+"""Items on one page; few, so that readings take several."""
+
+HISTORY = 40
+"""Changes that a watch can go back."""
+
+
+class StoreStandIn:
+    """Holds items; each change gets the next revision."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, dict[str, Any]] = {}
+        self._events: list[dict[str, Any]] = []
+        self._revision = 1
+        self._changed = anyio.Event()
+
+    def put(self, key: str, value: Any) -> None:
+        """Write an item."""
+        encoded = base64.b64encode(msgspec.json.encode(value)).decode()
+        self._revision += 1
+        item = {"key": key, "value": encoded, "revision": self._revision}
+        self._items[key] = item
+        self._tell(item)
+
+    def delete(self, key: str) -> None:
+        """Delete an item."""
+        if self._items.pop(key, None) is None:
+            return
+        self._revision += 1
+        self._tell({"key": key, "revision": self._revision, "deleted": True})
+
+    def forget_history(self) -> None:
+        """Drop the history, so that watches have to read anew."""
+        self._events.clear()
+
+    def _tell(self, event: dict[str, Any]) -> None:
+        self._events = [*self._events, event][-HISTORY:]
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def app(self) -> Starlette:
+        """Return the HTTP application."""
+        return Starlette(
+            routes=[
+                Route("/kv-range", self._range),
+                Route("/kv-watch", self._watch),
+            ]
+        )
+
+    async def _range(self, request: Request) -> Response:
+        prefix = request.query_params.get("prefix", "")
+        after = request.query_params.get("after", "")
+        keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
+        page = [self._items[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        body = {"items": page, "hasMore": more, "currentRev": self._revision}
+        return JSONResponse(body)
+
+    async def _watch(self, request: Request) -> Response:
+        after = int(request.query_params["after"])
+        wait_s = int(request.query_params.get("waitMs", "0")) / 1000
+        with anyio.move_on_after(wait_s):
+            while not self._since(after) and not self._is_lost(after):
+                await self._changed.wait()
+        if self._is_lost(after):
+            return Response(status_code=410)
+        events = list(self._since(after))
+        return JSONResponse({"events": events, "currentRev": self._revision})
+
+    def _since(self, after: int) -> list[dict[str, Any]]:
+        return list(_newer(self._events, after))
+
+    def _is_lost(self, after: int) -> bool:
+        """Return whether a change after a revision is no longer known."""
+        known = len(self._since(after))
+        return known < self._revision - max(after, 1)
+
+
+def _newer(events: Iterable[dict[str, Any]], after: int) -> Iterable[dict[str, Any]]:
+    return (event for event in events if event["revision"] > after)
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -99,6 +99,7 @@
             PassiveHealth(),
         )
         self._has_forwarded = False
+        self._leave_requested = False
 
     @property
     def settings(self) -> ForwarderSettings:
@@ -131,10 +132,24 @@
         return self._dispatcher
 
     @property
-    def ready(self) -> bool:
+    def leave_requested(self) -> bool:
+        """Whether this process has been told to leave."""
+        return self._leave_requested
+
+    def request_leave(self) -> None:
+        """Take no part in the rotation from now on."""
+        self._leave_requested = True
+
+    @property
+    def has_view(self) -> bool:
         """Whether flows can be forwarded."""
         return self._view.table is not None and len(self._view.roster) > 0
 
+    @property
+    def ready(self) -> bool:
+        """Whether the router may send flows here."""
+        return self.has_view and not self._leave_requested
+
     def serve_ready(self) -> None:
         """Handle the packets that have arrived, then what is due."""
         while True:
@@ -191,7 +206,7 @@
         """Let the dispatcher know whether it may refuse what it has no route for."""
         fresh = self._replica.age(now) < TRUST_S
         self._dispatcher.trusts_view = fresh and self._view.table is not None
-        if self.ready:
+        if self.has_view:
             self._dispatcher.view_changed(now)
 
     def __enter__(self) -> Self:
--- a/egrethook/forwarder_start.py
+++ b/egrethook/forwarder_start.py
@@ -9,6 +9,7 @@
 
 import errno
 import select
+import signal
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -104,12 +105,18 @@
 
     def run(self) -> None:
         """Serve until the libraries are loaded."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._note_signal)
         _LOG.info("the process starts.")
         began = self._clock.now()
         with self._probes:
             self._serve(began)
         _LOG.info("the libraries are loaded.")
 
+    def _note_signal(self, number: int, frame: object) -> None:
+        """Leave as soon as the event loop runs; packets are forwarded until then."""
+        self._forwarder.request_leave()
+
     def _serve(self, began: float) -> None:
         try:
             while self._waits_for_view(began):
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -68,7 +68,6 @@
         self._settings_file = SettingsFile(settings_path, settings)
         self._log = log
         self._clock = forwarder.clock
-        self._leaving = False
         rng = random.Random()
         own = MemberInfo(
             Address.parse(settings.peers),
@@ -110,7 +109,7 @@
                 ):
                     tasks.start_soon(task)
                 await self._wait_for_leave()
-                self._leaving = True
+                self._forwarder.request_leave()
                 self._gossip.leave()
                 await anyio.sleep(self._settings.leave_s)
                 tasks.cancel_scope.cancel()
@@ -121,6 +120,8 @@
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
+            if self._forwarder.leave_requested:
+                return
             async for number in signals:
                 _LOG.info("a signal has arrived.", signal=signal.Signals(number).name)
                 if number != signal.SIGHUP:
@@ -159,8 +160,7 @@
         await serve_probes(address, {"/readyz": self._readiness})
 
     def _readiness(self) -> ProbeAnswer:
-        ready = self._forwarder.ready and not self._leaving
-        return ProbeAnswer(200 if ready else 503)
+        return ProbeAnswer(200 if self._forwarder.ready else 503)
 
     async def _serve_metrics(self) -> None:
         host = Address.parse(self._settings.packets).host
--- a/egrethook/operators/commands.py
+++ b/egrethook/operators/commands.py
@@ -19,6 +19,7 @@
 from egrethook.emulator.report import HEADINGS, RunReport, format_table
 from egrethook.emulator.runner import run_stand_in
 from egrethook.emulator.settings import load_stand_in
+from egrethook.emulator.soak.run import Soak, SoakOptions, SoakReport
 from egrethook.exceptions import (
     AdminUnreachableError,
     EgrethookError,
@@ -299,6 +300,46 @@
         return 0
 
 
+class SoakCommand(Command):
+    """Runs a fault soak."""
+
+    name = "soak"
+    description = "Run real forwarding processes under random faults; check promises."
+    options = [
+        option("seed", None, "Seed of load and faults.", flag=False, default="1"),
+        option("seeds", None, "How many, from that one on.", flag=False, default="1"),
+        option("minutes", None, "Faults of each seed.", flag=False, default="0.5"),
+        option("vms", None, "VMs in each domain.", flag=False, default="2"),
+        option("upstreams", None, "Upstreams.", flag=False, default="6"),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        first = int(_number(self.option("seed"), "--seed"))
+        count = int(_number(self.option("seeds"), "--seeds"))
+        broken = 0
+        for seed in range(first, first + count):
+            options = SoakOptions(
+                seed,
+                seconds=60.0 * _number(self.option("minutes"), "--minutes"),
+                vms_a_domain=int(_number(self.option("vms"), "--vms")),
+                upstreams=int(_number(self.option("upstreams"), "--upstreams")),
+            )
+            report = run_async(Soak(options, self.line).run)
+            self._print(report)
+            broken += len(report.violations)
+        return FAULTS_STATUS if broken else 0
+
+    def _print(self, report: SoakReport) -> None:
+        for violation in report.violations:
+            self.line(f"BROKEN {violation.rule}: {violation.what}")
+        self.line(
+            f"seed {report.seed}: {report.answered} of {report.requests} answered,"
+            f" {report.answered_after_calm:.1%} after the faults,"
+            f" {len(report.violations)} promises broken; logs in {report.folder}"
+        )
+
+
 class ReferenceCommand(Command):
     """Writes the reference pages."""
 
@@ -340,6 +381,7 @@
     DomainCommand,
     DrainCommand,
     ExplainCommand,
+    SoakCommand,
     ReferenceCommand,
 ]
 
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -11,6 +11,9 @@
 REMOTE_COST = 0.7
 """What a way to another failure domain counts for, in open flows."""
 
+SILENT_DOMAIN_COST = 3.0
+"""What a failure domain that has left this opening unanswered counts for, in flows."""
+
 SLOW_FACTOR = 2.0
 """An upstream whose mean service time exceeds the service's by this is slow."""
 
@@ -70,12 +73,15 @@
         # Equal candidates take turns.
         self._turn += 1
         start = self._turn % len(roomy)
-        chosen = min(roomy[start:] + roomy[:start], key=self._cost(pool))
+        chosen = min(roomy[start:] + roomy[:start], key=self._cost(pool, tried))
         self._cold.note_sent(chosen, now)
         return chosen
 
-    def _cost(self, pool: list[Upstream]) -> Callable[[Upstream], float]:
+    def _cost(
+        self, pool: list[Upstream], tried: Collection[Upstream]
+    ) -> Callable[[Upstream], float]:
         """Return the function by which candidates are compared."""
+        silent_domains = {one.domain for one in tried}
         times = sorted(one.service_time_s for one in pool if one.service_time_s)
         typical_s = times[len(times) // 2] if times else 0.0
         domain = self._domain
@@ -84,6 +90,10 @@
             value = one.open_flows + 1.0
             if one.service_time_s > SLOW_FACTOR * typical_s > 0.0:
                 value *= one.service_time_s / typical_s
-            return value if one.domain == domain else value + REMOTE_COST
+            if one.domain != domain:
+                value += REMOTE_COST
+            if one.domain in silent_domains:
+                value += SILENT_DOMAIN_COST
+            return value
 
         return cost
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -128,6 +128,21 @@
     assert bench.upstream("b").open_flows == 1
 
 
+def test_second_try_leaves_the_silent_failure_domain():
+    """All of zone-b is cut off; its upstreams are the least busy ones."""
+    bench = Bench(names=())
+    for name in ("b1", "b2", "b3"):
+        record = upstream_record(name, "zone-b")
+        bench.put(ItemKind.UPSTREAM, name, record)
+    record = upstream_record("c", "zone-c")
+    bench.put(ItemKind.UPSTREAM, "c", record)
+    bench.upstream("c").open_flows = 2
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    assert bench.sent()[0].startswith("b")
+    bench.dispatcher.tick(0.1)
+    assert bench.sent() == ["c"]
+
+
 def test_first_answer_decides_although_the_second_upstream_was_asked():
     bench = Bench()
     bench.dispatcher.handle(packet(2000, SYN), 0.0)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import json
 import os
 import select
+import signal
 import socket
 import subprocess
 import sys
 import sysconfig
 
+import pytest
+
 from egrethook.addresses import Address
 from egrethook.interleaving import Interleaved
 from egrethook.operators.early_probes import EarlyProbes
@@ -98,3 +102,39 @@
     with socket.socket() as one:
         one.bind(("127.0.0.1", 0))
         return one.getsockname()[1]
+
+
+@pytest.mark.end_to_end
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signal_while_libraries_load_is_heeded(tmp_path, number):
+    host, port = "127.0.0.1", free_port()
+    settings = {
+        "name": "vm-1",
+        "failure_domain": "zone-a",
+        "packets": f"{host}:{port}",
+        "peers": f"{host}:{port}",
+        "probes": f"{host}:{free_port()}",
+        "registry": f"{host}:1",
+        "metrics_port": free_port(),
+        "leave_s": 0.1,
+    }
+    settings["peers"] = f"{host}:{free_port()}"
+    path = tmp_path / "node"
+    path.write_text(json.dumps(settings))
+    process = subprocess.Popen(
+        [sys.executable, "deploy/forwarder.py"],
+        env={**os.environ, "EGRETHOOK_CONFIG": str(path), "PYTHONPATH": os.getcwd()},
+        stdout=subprocess.PIPE,
+    )
+    try:
+        first = process.stdout.readline()
+        assert b"the process starts" in first
+        process.send_signal(number)
+        if number == signal.SIGHUP:
+            with pytest.raises(subprocess.TimeoutExpired):
+                process.wait(timeout=2.0)
+            process.terminate()
+        assert process.wait(timeout=10.0) == 0
+    finally:
+        process.kill()
+        process.stdout.close()
