--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,6 +7,8 @@
 from egrethook.addresses import Address
 from egrethook.callers.packets import Refused, Run
 from egrethook.callers.tokens import Token
+from egrethook.discovery.catalog import Catalog
+from egrethook.discovery.records import ItemKind, PublishedItem
 from egrethook.emulator.builders import (
     SERVICE,
     FixedSource,
@@ -187,3 +189,17 @@
         "caller_port": CALLER.port,
     }
     return Token(**{**fields, **changes})
+
+
+def published_item(
+    name: str, revision: int, value: bytes | None = b"x"
+) -> PublishedItem:
+    """Return an upstream's record at a revision; None deletes it."""
+    return PublishedItem(ItemKind.UPSTREAM, name, revision, value)
+
+
+def published_names(catalog: Catalog) -> set[str]:
+    """Return the names of the items that a catalog holds."""
+    changes = catalog.since(0, 10**6)
+    assert changes is not None
+    return {one.name for one in changes.items if one.value is not None}
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,245 @@
+"""Members, readers and the spread of changes by gossip."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+
+import pytest
+from helpers import published_item as item
+from helpers import published_names as names
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egrethook.addresses import Address
+from egrethook.balancers.gossip import Gossip
+from egrethook.balancers.gossip_codec import (
+    Delta,
+    Digest,
+    MemberInfo,
+    decode,
+    encode,
+)
+from egrethook.balancers.gossip_members import MEMBER_TIMEOUT_S, GossipMembers
+from egrethook.discovery.records import Changes, ItemKind, Snapshot
+from egrethook.discovery.replica import Replica
+from egrethook.emulator.builders import ManualClock
+from egrethook.exceptions import BadMessageError
+
+
+def member(number, domain="zone-a", beat=1, incarnation=1, leaving=False):
+    address = Address(f"10.0.0.{number}", 7000)
+    return MemberInfo(address, domain, incarnation, beat, leaving)
+
+
+def make_members(number, seeds=()):
+    return GossipMembers(member(number), seeds, random.Random(number))
+
+
+def test_each_failure_domain_has_one_reader_in_every_view():
+    infos = [member(n) for n in range(1, 5)]
+    readers = []
+    for info in infos:
+        members = GossipMembers(info, [], random.Random(1))
+        members.merge(infos, 0.0)
+        readers.append(members.is_reader(1.0))
+    assert sum(readers) == 1
+
+
+def test_reader_that_falls_silent_or_leaves_is_replaced():
+    infos = [member(n) for n in range(1, 4)]
+    views = [GossipMembers(info, [], random.Random(1)) for info in infos]
+    for view in views:
+        view.merge(infos, 0.0)
+    first = [view.is_reader(0.0) for view in views].index(True)
+    others = [n for n in range(3) if n != first]
+    later = MEMBER_TIMEOUT_S + 0.1
+    for n in others:
+        views[n].merge([member(m + 1, beat=2) for m in others], later)
+    assert sum(views[n].is_reader(later) for n in others) == 1
+    views[first].beat(leaving=True)
+    assert not views[first].is_reader(0.0)
+
+
+def test_restarted_member_replaces_its_older_incarnation():
+    members = make_members(1)
+    members.merge([member(2, beat=500, incarnation=1)], 0.0)
+    members.merge([member(2, beat=1, incarnation=2)], 0.5)
+    members.merge([member(2, beat=501, incarnation=1)], 0.6)
+    (info,) = members.live(0.6)
+    assert info.incarnation == 2
+
+
+def test_large_fleet_gossips_with_a_bounded_number():
+    members = make_members(1)
+    domains = ["zone-a", "zone-b", "zone-c"]
+    members.merge([member(n, domains[n % 3]) for n in range(2, 90)], 0.0)
+    assert len(members.partners(0.1)) == 3
+    assert len(members.audience(0.1)) == 4
+    assert len(members.sample(0.1)) == 8
+
+
+class Wire:
+    """Delivers datagrams between gossips at once, unless they are cut off."""
+
+    def __init__(self):
+        self.gossips = {}
+        self.cut = set()
+        self.queue = []
+
+    def deliver(self):
+        while self.queue:
+            source, target, data = self.queue.pop(0)
+            if target in self.gossips and not {source, target} & self.cut:
+                self.gossips[target]._handle(data, source)
+
+
+class WirePort:
+    def __init__(self, wire, address):
+        self.wire, self.address = wire, address
+
+    def send(self, target, data):
+        self.wire.queue.append((self.address, target, data))
+
+
+class Fleet:
+    def __init__(self, size):
+        self.wire, self.clock = Wire(), ManualClock()
+        self.replicas = []
+        for number in range(1, size + 1):
+            self.add(number)
+
+    def add(self, number):
+        own = member(number)
+        seeds = [Address("10.0.0.1", 7000), Address("10.0.0.2", 7000)]
+        members = GossipMembers(own, seeds, random.Random(number))
+        holder = []
+        replica = Replica(lambda items, before: holder[0].pass_on(items, before))
+        gossip = Gossip(
+            WirePort(self.wire, own.address),
+            members,
+            replica,
+            self.clock,
+            random.Random(number),
+            None,
+        )
+        holder.append(gossip)
+        self.wire.gossips[own.address] = gossip
+        self.replicas.append(replica)
+        return replica
+
+    def beat(self, times=1):
+        for _ in range(times):
+            self.clock.advance(0.3)
+            now = self.clock.now()
+            for gossip in self.wire.gossips.values():
+                gossip._members.beat(False)
+                for partner in gossip._members.partners(now):
+                    gossip._send(partner, gossip._digest(now))
+            self.wire.deliver()
+
+
+def test_change_reaches_every_member_from_one_reader():
+    fleet = Fleet(30)
+    fleet.beat(12)
+    fleet.replicas[0].take_snapshot(Snapshot([item("a", 7)], 7), fleet.clock.now())
+    fleet.beat(8)
+    assert {replica.revision for replica in fleet.replicas} == {7}
+    changes = Changes(7, 8, [item("a", 8, None)])
+    fleet.replicas[0].take_changes(changes, fleet.clock.now())
+    fleet.wire.deliver()
+    told = sum(replica.revision == 8 for replica in fleet.replicas)
+    assert told > 20
+    fleet.beat(3)
+    assert {replica.revision for replica in fleet.replicas} == {8}
+    assert all(names(replica.catalog) == set() for replica in fleet.replicas)
+
+
+def test_freshness_spreads_only_while_somebody_reads():
+    fleet = Fleet(6)
+    fleet.beat(4)
+    for _ in range(5):
+        now = fleet.clock.now()
+        fleet.replicas[0].take_snapshot(Snapshot([item("a", 7)], 7), now)
+        fleet.beat(1)
+    ages = [replica.age(fleet.clock.now()) for replica in fleet.replicas]
+    assert max(ages) < 1.0
+    fleet.beat(10)
+    ages = [replica.age(fleet.clock.now()) for replica in fleet.replicas]
+    assert min(ages) > 2.5
+
+
+def test_newcomer_gets_everything_from_its_peers():
+    fleet = Fleet(4)
+    fleet.beat(3)
+    items = [item(f"up-{n}", n, b"v" * 300) for n in range(1, 200)]
+    fleet.replicas[0].take_snapshot(Snapshot(items, 200), fleet.clock.now())
+    fleet.beat(4)
+    newcomer = fleet.add(9)
+    fleet.beat(3)
+    assert newcomer.revision == 200
+    assert len(names(newcomer.catalog)) == 199
+
+
+def test_long_value_reaches_everybody_compressed_and_only_where_asked_for():
+    fleet = Fleet(12)
+    fleet.beat(5)
+    routes = [f'{{"name":"r-{n}","host":"198.18.0.{n % 250}"}}' for n in range(1_760)]
+    value = ("[" + ",".join(routes) + "]").encode()
+    assert len(value) > 60_000
+    snapshot = Snapshot([item("a", 1), item("routes", 7, value)], 7)
+    fleet.replicas[0].take_snapshot(snapshot, fleet.clock.now())
+    fleet.beat(6)
+    assert {replica.revision for replica in fleet.replicas} == {7}
+    held = {
+        replica.catalog.get(ItemKind.UPSTREAM, "routes").value
+        for replica in fleet.replicas
+    }
+    assert held == {value}
+    sent = sum(gossip.bytes_sent for gossip in fleet.wire.gossips.values())
+    assert sent < 12 * 4 * 15_000
+
+
+def test_member_that_was_cut_off_catches_up():
+    fleet = Fleet(4)
+    fleet.beat(3)
+    fleet.replicas[0].take_snapshot(Snapshot([item("a", 1)], 1), fleet.clock.now())
+    fleet.beat(2)
+    fleet.wire.cut = {Address("10.0.0.4", 7000)}
+    for revision in range(2, 6):
+        changes = Changes(revision - 1, revision, [item(f"up-{revision}", revision)])
+        fleet.replicas[0].take_changes(changes, fleet.clock.now())
+        fleet.wire.deliver()
+    assert fleet.replicas[3].revision == 1
+    fleet.wire.cut = set()
+    fleet.beat(2)
+    assert fleet.replicas[3].revision == 5
+
+
+def test_messages_survive_the_wire():
+    digest = Digest(member(1), 9, 0.25, (member(2, leaving=True),))
+    assert decode(encode(digest)) == digest
+    delta = Delta(Changes(3, 5, [item("a", 4, b""), item("b", 5, None)]), float("inf"))
+    assert decode(encode(delta)) == delta
+
+
+@given(st.binary(max_size=200))
+def test_random_bytes_are_refused_with_a_code(data):
+    try:
+        decode(data)
+    except BadMessageError as error:
+        assert error.code == "E201"
+
+
+@given(st.integers(0, 10**6), st.integers(0, 255))
+def test_changed_bytes_are_decoded_or_refused(position, value):
+    datagram = bytearray(encode(Digest(member(1), 9, 0.25, (member(2),))))
+    datagram[position % len(datagram)] = value
+    with contextlib.suppress(BadMessageError):
+        decode(bytes(datagram))
+
+
+@pytest.mark.parametrize("revision", [-1, -(2**40)])
+def test_negative_revision_is_refused(revision):
+    with pytest.raises(BadMessageError):
+        decode(encode(Digest(member(1), revision, 0.1, ())))
