--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,7 @@
     "domain",
     "schedules",
     "datapath",
+    "forwarding",
     "control",
     "roles",
     "flowbalance",
--- /dev/null
+++ b/benchmarks/forwarding.py
@@ -0,0 +1,116 @@
+"""Processor time of forwarding a flow, and what its log lines add to that path.
+
+The event loop, wake-ups and gossip of a process come on top; what logs cost a whole
+process is measured on the users' bench (docs/CAPACITY.md).
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import time
+from typing import Any
+
+from benchmarks.figures import Figure
+from egrethook.callers.flow_dispatch import FlowDispatcher
+from egrethook.discovery.records import ItemKind, PublishedItem
+from egrethook.discovery.view import ForwardingView
+from egrethook.emulator.flow_world import (
+    TARGET,
+    AlwaysAdmits,
+    PlainDecoder,
+    route_table,
+    upstream_record,
+)
+from egrethook.line_log import LineLog
+from egrethook.logs import LogDestination, set_destination
+from egrethook.platform.packet_header import ACK, FIN, HEADER, SYN, PacketHeader
+from egrethook.upstreams.health import PassiveHealth
+from egrethook.upstreams.selection import LeastFlowsSelector
+
+FLOWS = 2_000
+DATA_PACKETS = 6
+FLOWS_PER_S = 30.0
+"""Flows that one VM gets in a second on the users' days."""
+
+ROUNDS = 5
+
+class _NoLog:
+    def write(
+        self, level: str, part: str, sentence: str, fields: dict[str, Any]
+    ) -> None:
+        """Take one event and drop it."""
+
+
+class _SocketPort:
+    """Sends to a socket on loopback that drops what it has no room for."""
+
+    def __init__(self) -> None:
+        self._sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sink.bind(("127.0.0.1", 0))
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._target = self._sink.getsockname()
+        self.received = 0
+
+    def to_upstream(self, address: tuple[str, int], packet: bytes) -> None:
+        """Send a packet, and receive it as the next process would."""
+        self._socket.sendto(packet, self._target)
+        self._sink.recvfrom(2048)
+        self.received += 1
+
+    def to_caller(self, caller: tuple[int, int], packet: bytes) -> None:
+        """Send nothing."""
+
+
+def _packet(port: int, flags: int, echo: int = 0, data: bytes = b"") -> bytes:
+    host, target_port = TARGET
+    head = HEADER.pack(
+        len(data), port, target_port, 0x64400007, host, 0, 0, flags, echo, bytes(4)
+    )
+    return head + data
+
+
+def _seconds(log: LogDestination) -> float:
+    """Return the processor time of all flows with a log."""
+    previous = set_destination(log)
+    decoder = PlainDecoder()
+    view = ForwardingView(decoder, 60.0)
+    records = [upstream_record(f"up-{n}", f"zone-{n % 3}") for n in range(7)]
+    items = [PublishedItem(ItemKind.ROUTES, "", 1, decoder.encode(route_table()))]
+    items += [
+        PublishedItem(ItemKind.UPSTREAM, one.name, 2, decoder.encode(one))
+        for one in records
+    ]
+    view.update(items, 0.0)
+    selector = LeastFlowsSelector("zone-0", 3, AlwaysAdmits())
+    port = _SocketPort()
+    dispatcher = FlowDispatcher(view, PacketHeader(), port, selector, PassiveHealth())
+    token = view.roster.all()[0].token
+    began = time.process_time()
+    for number in range(FLOWS):
+        now = number / FLOWS_PER_S
+        source = number % 60_000 + 1_024
+        dispatcher.handle(_packet(source, SYN), now)
+        token = dispatcher._flows[_packet(source, SYN)[2:14]].tried[0].token
+        for _ in range(DATA_PACKETS):
+            dispatcher.handle(_packet(source, ACK, token, b"x" * 100), now)
+        dispatcher.handle(_packet(source, ACK | FIN, token), now)
+    seconds = time.process_time() - began
+    set_destination(previous)
+    return seconds
+
+
+def run() -> list[Figure]:
+    """Return the figures, the best of several pairs of runs."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    ticks = iter(range(10**9))
+    log = LineLog(descriptor, "vm", lambda: next(ticks) / FLOWS_PER_S)
+    pairs = [(_seconds(_NoLog()), _seconds(log)) for _ in range(ROUNDS)]
+    bare = min(one for one, _ in pairs)
+    ratio = sorted(logged / quiet for quiet, logged in pairs)[len(pairs) // 2]
+    packets = FLOWS * (DATA_PACKETS + 2)
+    return [
+        Figure("processor time a packet, with its sending", bare / packets * 1e6, "us"),
+        Figure("what log lines add to this path alone", ratio - 1.0),
+    ]
