--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -35,6 +35,7 @@
 
 ROUNDS = 5
 
+
 class _NoLog:
     def write(
         self, level: str, part: str, sentence: str, fields: dict[str, Any]
