Let flows take room only while a request is under way

Cause: callers may keep a flow open for many requests. Each open flow took one of the three places that a balancer has at an upstream, until it had been silent for 3 s; what arrived meanwhile waited or was refused.

Ruled out: a higher limit (it would flood the upstreams after a restart, the load that the limit answers); not counting open flows at all (nothing would show that upstreams are full).

Change: a flow is busy while it opens, and from each new byte of a request until the caller acknowledges a part of the answer; in between it rests. Flows opened through another balancer are followed from their next request. Resting flows weigh in placement by the share of time for which flows are busy. Packets of tests, benchmark and emulator are built in one place.

--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -15,16 +15,16 @@
 from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.discovery.records import ItemKind, PublishedItem
 from egrethook.discovery.view import ForwardingView
-from egrethook.emulator.flow_world import (
-    TARGET,
+from egrethook.emulator.flow_records import (
     AlwaysAdmits,
     PlainDecoder,
+    caller_packet,
     route_table,
     upstream_record,
 )
 from egrethook.line_log import LineLog
 from egrethook.logs import LogDestination, set_destination
-from egrethook.platform.packet_header import ACK, FIN, HEADER, SYN, PacketHeader
+from egrethook.platform.packet_header import ACK, FIN, FLOW, SYN, PacketHeader
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import LeastFlowsSelector
 
@@ -64,14 +64,6 @@
         """Send nothing."""
 
 
-def _packet(port: int, flags: int, echo: int = 0, data: bytes = b"") -> bytes:
-    host, target_port = TARGET
-    head = HEADER.pack(
-        len(data), port, target_port, 0x64400007, host, 0, 0, flags, echo, bytes(4)
-    )
-    return head + data
-
-
 def _seconds(log: LogDestination) -> float:
     """Return the processor time of all flows with a log."""
     previous = set_destination(log)
@@ -92,11 +84,15 @@
     for number in range(FLOWS):
         now = number / FLOWS_PER_S
         source = number % 60_000 + 1_024
-        dispatcher.handle(_packet(source, SYN), now)
-        token = dispatcher._flows[_packet(source, SYN)[2:14]].tried[0].token
-        for _ in range(DATA_PACKETS):
-            dispatcher.handle(_packet(source, ACK, token, b"x" * 100), now)
-        dispatcher.handle(_packet(source, ACK | FIN, token), now)
+        opening = caller_packet(source, SYN)
+        dispatcher.handle(opening, now)
+        token = dispatcher._flows[opening[FLOW]].tried[0].token
+        for part in range(DATA_PACKETS):
+            data = caller_packet(
+                source, ACK, sequence=part * 100, echo=token, data=b"x" * 100
+            )
+            dispatcher.handle(data, now)
+        dispatcher.handle(caller_packet(source, ACK | FIN, echo=token), now)
     seconds = time.process_time() - began
     set_destination(previous)
     return seconds
--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import enum
 from collections import OrderedDict
 
-from msgspec import Struct, field
-
+from egrethook.callers.forwarded_flow import (
+    OPENING_LIFE_S,
+    Counts,
+    Flow,
+    FlowState,
+)
 from egrethook.callers.segments import PacketPort, Segment, SegmentCodec
 from egrethook.callers.waiting import Waiting, WaitingQueue
-from egrethook.discovery.records import Route
 from egrethook.discovery.view import ForwardingView, pick_service
-from egrethook.histogram import LatencyHistogram
 from egrethook.logs import PartLog
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import UpstreamSelector
@@ -32,82 +33,29 @@
 RESENDS = 3
 """Most upstreams that one opening is sent to."""
 
-OPENING_LIFE_S = 1.4
-"""Time after which a caller gives up an opening, in seconds."""
-
 SERVICE_S = 0.05
 """Time that an upstream usually needs once it has an opening, in seconds."""
 
 CALLER_GONE_S = 0.3
 """Time before its caller gives up in which an opening tells nothing of an upstream."""
 
-COPY_DELAYS_S = (0.0, 0.2, 0.6)
-"""When a caller sends its opening and the copies of it, in seconds."""
+SILENT_S = 3.0
+"""Time without packets after which a flow's request takes no more room, in seconds."""
 
-IDLE_S = 3.0
-"""Time without packets after which a flow is no longer counted, in seconds."""
+KEPT_S = 30.0
+"""Time without packets after which an open flow is no longer known, in seconds."""
 
 UNDECIDED_LIMIT = 2_000
 """Most openings that wait for a fresh view."""
 
-_LOG = PartLog("flows")
-
-
-class FlowState(enum.Enum):
-    """How far the opening of a flow has come."""
-
-    WAITING = "waiting"
-    SENT = "sent"
-    OPEN = "open"
-
-
-class Flow(Struct):
-    """One flow whose opening passed through this balancer."""
-
-    segment: Segment
-    datagram: bytes
-    route: Route
-    service: str
-    since: float
-    state: FlowState = FlowState.WAITING
-    sent_at: float = 0.0
-    seen_at: float = 0.0
-    tried: list[Upstream] = []
-    counted: Upstream | None = None
-
-    @property
-    def first_sent_at(self) -> float:
-        """When the caller sent its first opening, in seconds."""
-        copies = min(self.segment.copies, len(COPY_DELAYS_S) - 1)
-        return self.since - COPY_DELAYS_S[copies]
+_KNOWN_S = {
+    FlowState.WAITING: OPENING_LIFE_S,
+    FlowState.SENT: OPENING_LIFE_S,
+    FlowState.OPEN: KEPT_S,
+}
+"""Time without packets after which a flow is forgotten, in seconds."""
 
-    @property
-    def given_up_at(self) -> float:
-        """When the caller no longer waits for its opening, in seconds."""
-        return self.first_sent_at + min(OPENING_LIFE_S, self.route.timeout_s)
-
-    def count_for(self, upstream: Upstream | None) -> None:
-        """Let the flow take room of one upstream, or of none."""
-        if self.counted is not None:
-            self.counted.open_flows -= 1
-        if upstream is not None:
-            upstream.open_flows += 1
-        self.counted = upstream
-
-
-class Counts(Struct):
-    """What the dispatcher has done, for the metrics."""
-
-    packets: int = 0
-    openings: int = 0
-    answered: int = 0
-    resent: int = 0
-    waited: int = 0
-    reset: dict[str, int] = {}
-    dropped: dict[str, int] = {}
-    answer_times: LatencyHistogram = field(default_factory=LatencyHistogram)
-    flow_times: LatencyHistogram = field(default_factory=LatencyHistogram)
-    wait_times: LatencyHistogram = field(default_factory=LatencyHistogram)
+_LOG = PartLog("flows")
 
 
 class FlowDispatcher:
@@ -160,8 +108,8 @@
         return self._counts
 
     @property
-    def open_flows(self) -> int:
-        """Flows that are counted at present."""
+    def known_flows(self) -> int:
+        """Flows that are opening or open at present."""
         return len(self._flows)
 
     @property
@@ -269,7 +217,7 @@
         upstream = self._selector.choose(candidates, flow.tried, now)
         if upstream is None:
             return False
-        flow.count_for(upstream)
+        flow.take_room(upstream)
         flow.tried.append(upstream)
         flow.state = FlowState.SENT
         flow.sent_at = flow.seen_at = now
@@ -283,7 +231,7 @@
             failure_domain=upstream.domain,
             attempt=len(flow.tried),
             candidates=len(candidates),
-            open_flows=upstream.open_flows,
+            busy_flows=upstream.busy_flows,
             waited_ms=round((now - flow.since) * 1000),
             version=self._version(),
             revision=self._view.revision,
@@ -302,7 +250,7 @@
             return
         silent = flow.tried[-1]
         # What an upstream has not answered takes no room there.
-        flow.count_for(None)
+        flow.leave()
         if flow.sent_at + CALLER_GONE_S < flow.given_up_at:
             self._health.note_silence(silent, now)
         if len(flow.tried) >= RESENDS or now > flow.given_up_at:
@@ -322,14 +270,14 @@
     def _enqueue(self, flow: Flow, now: float) -> None:
         queue = self._queues.setdefault(flow.service, WaitingQueue())
         candidates = self._view.candidates(flow.service)
-        open_flows = sum(one.open_flows for one in candidates)
+        busy_flows = sum(one.busy_flows for one in candidates)
         flow_s = max((one.service_time_s for one in candidates), default=0.0)
-        if queue.is_full(open_flows, max(flow_s, SERVICE_S)):
+        if queue.is_full(busy_flows, max(flow_s, SERVICE_S)):
             self._reset(
                 flow.segment,
                 "too many wait",
                 waiting=len(queue),
-                open_flows=open_flows,
+                busy_flows=busy_flows,
                 flow_ms=round(flow_s * 1000),
             )
             return
@@ -363,14 +311,12 @@
 
     def _handle_later(self, segment: Segment, datagram: bytes, now: float) -> None:
         """Take a packet of a flow that its caller takes to be open."""
-        flow = self._flows.get(segment.flow)
         upstream = self._view.roster.by_token.get(segment.token)
+        flow = self._flows.get(segment.flow)
+        if flow is None and upstream is not None and segment.length:
+            flow = self._adopt(segment, upstream, now)
         if flow is not None:
-            flow.seen_at = now
-            if flow.state is FlowState.SENT and upstream in flow.tried:
-                self._note_open(flow, upstream, now)
-            if segment.closes or segment.aborts:
-                self._note_end(flow, segment, now)
+            self._note_packet(flow, segment, upstream, now)
         if upstream is None:
             self._drop("unknown token")
             _LOG.decision(
@@ -382,38 +328,71 @@
             return
         self._forward(upstream, datagram)
 
-    def _note_open(self, flow: Flow, upstream: Upstream, now: float) -> None:
+    def _adopt(self, segment: Segment, upstream: Upstream, now: float) -> Flow | None:
+        """Follow a flow that was opened through another balancer."""
+        route = self._view.route(segment.target)
+        if route is None:
+            return None
+        flow = Flow(segment, b"", route, upstream.service, now)
+        flow.take_room(upstream)
+        flow.open_at(upstream, segment, now)
+        self._flows[segment.flow] = flow
+        return flow
+
+    def _note_packet(
+        self, flow: Flow, segment: Segment, upstream: Upstream | None, now: float
+    ) -> None:
+        """Learn from a packet how far a flow has come."""
+        flow.seen_at = now
+        if flow.state is FlowState.OPEN:
+            self._note_progress(flow, segment, now)
+        elif flow.state is FlowState.SENT and upstream in flow.tried:
+            self._note_open(flow, segment, upstream, now)
+        if segment.closes or segment.aborts:
+            self._forget(flow)
+            self._serve_waiting(flow.service, now)
+
+    def _note_open(
+        self, flow: Flow, segment: Segment, upstream: Upstream, now: float
+    ) -> None:
         self._unanswered.pop(flow.segment.flow, None)
         self._counts.answered += 1
-        flow.count_for(upstream)
-        flow.tried = [upstream]
-        flow.state = FlowState.OPEN
         self._health.note_answer(upstream, now)
         answer_s = now - flow.sent_at
         self._answer_s += ANSWER_WEIGHT * (answer_s - self._answer_s)
         self._counts.answer_times.observe(answer_s)
-        flow.sent_at = now
-
-    def _note_end(self, flow: Flow, segment: Segment, now: float) -> None:
-        if flow.state is FlowState.OPEN and segment.closes:
-            flow.tried[0].note_service_time(now - flow.sent_at)
-            self._counts.flow_times.observe(now - flow.sent_at)
-        queue = self._queues.get(flow.service)
-        self._forget(flow)
+        flow.open_at(upstream, segment, now)
+
+    def _note_progress(self, flow: Flow, segment: Segment, now: float) -> None:
+        """Count a request while its answer has not begun to arrive."""
+        if flow.is_answered_by(segment):
+            service_s = now - flow.sent_at
+            flow.tried[0].note_service_time(service_s)
+            self._counts.request_times.observe(service_s)
+            flow.note_answer(segment)
+        if flow.is_asked_by(segment):
+            flow.note_request(segment, now)
+        if not flow.is_busy:
+            self._serve_waiting(flow.service, now)
+
+    def _serve_waiting(self, service: str, now: float) -> None:
+        queue = self._queues.get(service)
         if queue:
             self._serve_queue(queue, now)
 
     def _forget(self, flow: Flow) -> None:
         del self._flows[flow.segment.flow]
         self._unanswered.pop(flow.segment.flow, None)
-        flow.count_for(None)
+        flow.leave()
 
     def _sweep(self, now: float) -> None:
-        """Stop counting flows that ended without a packet that says so."""
+        """Stop counting what ended without a packet that says so."""
         for flow in list(self._flows.values()):
-            limit_s = IDLE_S if flow.state is FlowState.OPEN else OPENING_LIFE_S
-            if now - flow.seen_at > limit_s:
+            silent_s = now - flow.seen_at
+            if silent_s > _KNOWN_S[flow.state]:
                 self._forget(flow)
+            elif flow.state is FlowState.OPEN and silent_s > SILENT_S:
+                flow.rest()
 
     # Packets out ---------------------------------------------------------------
 
--- a/egrethook/callers/segments.py
+++ b/egrethook/callers/segments.py
@@ -4,6 +4,9 @@
 
 from typing import NamedTuple, Protocol
 
+SEQUENCES = 2**32
+"""Sequence numbers begin again at 0 after so many bytes."""
+
 Endpoint = tuple[int, int]
 """An IPv4 address as a number, and a port."""
 
@@ -19,8 +22,12 @@
         The token of the flow's upstream; 0 in an opening packet.
     copies : int
         Which copy of the opening packet this is, from 0.
+    sequence : int
+        The sequence number of the first byte.
     acknowledged : int
-        The last byte that the caller has received, as a sequence number.
+        The sequence number that the caller expects next from its upstream.
+    length : int
+        Bytes of data.
     """
 
     flow: bytes
@@ -31,9 +38,20 @@
     aborts: bool
     token: int
     copies: int
+    sequence: int
     acknowledged: int
     length: int
 
+    @property
+    def end(self) -> int:
+        """The sequence number after the last byte."""
+        return (self.sequence + self.length) % SEQUENCES
+
+
+def is_after(sequence: int, other: int) -> bool:
+    """Return whether a sequence number lies ahead of another; numbers wrap."""
+    return 0 < (sequence - other) % SEQUENCES < SEQUENCES // 2
+
 
 class SegmentCodec(Protocol):
     """Reads and writes the headers of packets."""
--- a/egrethook/callers/waiting.py
+++ b/egrethook/callers/waiting.py
@@ -49,17 +49,17 @@
     def __len__(self) -> int:
         return len(self._on_time) + len(self._late)
 
-    def is_full(self, open_flows: int, flow_s: float) -> bool:
+    def is_full(self, busy_flows: int, flow_s: float) -> bool:
         """Return whether one more would wait longer than is worth while.
 
         Parameters
         ----------
-        open_flows : int
-            Flows that the upstreams work at now.
+        busy_flows : int
+            Flows whose requests the upstreams work at now.
         flow_s : float
-            How long a flow takes, in seconds.
+            How long a request takes, in seconds.
         """
-        rate_per_s = open_flows / flow_s
+        rate_per_s = busy_flows / flow_s
         return len(self) >= max(QUEUE_FLOOR, rate_per_s * QUEUE_WAIT_S)
 
     def push(self, opening: Waiting) -> None:
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -13,110 +13,35 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from zlib import crc32
 
 from egrethook.callers.flow_dispatch import FlowDispatcher
+from egrethook.callers.forwarded_flow import COPY_DELAYS_S, OPENING_LIFE_S
 from egrethook.callers.segments import Endpoint
 from egrethook.discovery.records import (
     ItemKind,
     PublishedItem,
-    Route,
     RouteTable,
-    UpstreamPhase,
     UpstreamRecord,
-    WeightedService,
 )
 from egrethook.discovery.view import ForwardingView
-from egrethook.exceptions import DocumentError
-from egrethook.platform.packet_header import (
-    ACK,
-    FIN,
-    HEADER,
-    INTENDED,
-    RST,
-    SYN,
-    PacketHeader,
+from egrethook.emulator.flow_records import (
+    SLOTS,
+    AlwaysAdmits,
+    PlainDecoder,
+    caller_packet,
+    route_table,
+    upstream_record,
 )
+from egrethook.emulator.packets import Packet
+from egrethook.platform.packet_header import ACK, FIN, INTENDED, RST, SYN, PacketHeader
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import LeastFlowsSelector
-from egrethook.upstreams.upstream import Upstream
 
-SERVICE = "readings"
-TARGET: Endpoint = (0xC6120001, 8443)
 TICK_S = 0.01
-COPY_DELAYS_S = (0.2, 0.6)
-GIVE_UP_S = 1.4
 RETRIES = 2
 QUEUE_LIMIT = 8
-SLOTS = 2
-
-
-class AlwaysAdmits:
-    """Lets cold upstreams have what warm ones have."""
-
-    def admits(self, upstream: Upstream, now: float) -> bool:
-        """Return True."""
-        return True
-
-    def note_sent(self, upstream: Upstream, now: float) -> None:
-        """Count nothing."""
-
-
-class PlainDecoder:
-    """Takes records that were put into a dictionary instead of encoding them."""
-
-    def __init__(self) -> None:
-        self._records: dict[bytes, UpstreamRecord | RouteTable] = {}
-
-    def encode(self, record: UpstreamRecord | RouteTable) -> bytes:
-        """Return a value that stands for a record."""
-        value = str(len(self._records)).encode()
-        self._records[value] = record
-        return value
-
-    def upstream(self, name: str, value: bytes) -> UpstreamRecord:
-        """Return the record of an upstream."""
-        record = self._records.get(value)
-        if not isinstance(record, UpstreamRecord):
-            raise DocumentError(f"{name}: not a record")
-        return record
-
-    def routes(self, value: bytes) -> RouteTable:
-        """Return a configuration."""
-        table = self._records.get(value)
-        if not isinstance(table, RouteTable):
-            raise DocumentError("not a configuration")
-        return table
-
-
-def upstream_record(name: str, domain: str, **changes: object) -> UpstreamRecord:
-    """Return the record of an upstream with ordinary values."""
-    number = crc32(name.encode())
-    values: dict[str, object] = {
-        "name": name,
-        "instance": number,
-        "service": SERVICE,
-        "address": (name, 80),
-        "failure_domain": domain,
-        "phase": UpstreamPhase.READY,
-        "slots": SLOTS,
-        "started_ms": 1,
-        "cold_left_s": 0.0,
-    }
-    return UpstreamRecord(**{**values, **changes})  # type: ignore[arg-type]
-
-
-def route_table(version: int = 1, objective_s: float = 0.15) -> RouteTable:
-    """Return a configuration with one route to one service."""
-    route = Route(
-        name="route",
-        address=TARGET,
-        services=(WeightedService(SERVICE, 1),),
-        priority=1,
-        timeout_s=2.0,
-        objective_s=objective_s,
-    )
-    return RouteTable(version, (route,), {})
+REQUEST_BYTES = 168
+ANSWER_BYTES = 1_000
 
 
 @dataclass
@@ -151,13 +76,24 @@
 
 @dataclass
 class Call:
-    """One request of a caller, with its retries."""
+    """One request of a caller, with its retries.
+
+    Parameters
+    ----------
+    sent, received : int
+        Bytes that the flow has carried either way.
+    pause_s : callable, optional
+        Keeps the flow open, and returns the time until its next request.
+    """
 
     number: int
     vm: int
     began_at: float
     deadline_s: float
     work_s: float
+    pause_s: Callable[[], float] | None = None
+    sent: int = 0
+    received: int = 0
     attempt: int = 0
     port: int = 0
     opened_with: int = 0
@@ -215,7 +151,7 @@
     caller_s, between_s : float
         One-way delays to callers and between failure domains, in seconds.
     flow_limit : int
-        Most open flows of one upstream through one balancer.
+        Most busy flows of one upstream through one balancer.
     """
 
     def __init__(
@@ -298,17 +234,39 @@
     # Callers ---------------------------------------------------------------------
 
     def call(
-        self, vm: int, deadline_s: float = 2.0, work_s: float | None = None
+        self,
+        vm: int,
+        deadline_s: float = 2.0,
+        work_s: float | None = None,
+        pause_s: Callable[[], float] | None = None,
     ) -> Call:
         """Let a caller send a request through a balancer."""
+        call = self._new_call(vm, deadline_s, work_s, pause_s)
+        self._attempt(call)
+        return call
+
+    def _new_call(
+        self,
+        vm: int,
+        deadline_s: float,
+        work_s: float | None,
+        pause_s: Callable[[], float] | None,
+    ) -> Call:
         if work_s is None:
             work_s = self.rng.uniform(0.012, 0.035)
-        call = Call(len(self.calls), vm, self.now, deadline_s, work_s)
+        call = Call(len(self.calls), vm, self.now, deadline_s, work_s, pause_s)
         self.calls.append(call)
-        self._attempt(call)
         self.after(deadline_s, lambda: self._give_up(call))
         return call
 
+    def _call_again(self, before: Call) -> None:
+        """Send the next request on the flow that an earlier one has opened."""
+        call = self._new_call(before.vm, before.deadline_s, None, before.pause_s)
+        call.port, call.opened_with = before.port, before.opened_with
+        call.sent, call.received = before.sent, before.received
+        self._by_port[call.port] = call
+        self._send_request(call)
+
     def _give_up(self, call: Call) -> None:
         if not call.finished:
             call.failed = True
@@ -316,17 +274,17 @@
 
     def _attempt(self, call: Call) -> None:
         call.port = next(self._ports)
-        call.opened_with = 0
+        call.opened_with = call.sent = call.received = 0
         self._by_port[call.port] = call
         port = call.port
         self._send_opening(call, port, 0)
-        for copy, delay_s in enumerate(COPY_DELAYS_S, start=1):
+        for copy, delay_s in enumerate(COPY_DELAYS_S[1:], start=1):
             self.after(delay_s, partial(self._send_opening, call, port, copy))
-        self.after(GIVE_UP_S, lambda: self._end_attempt(call, port))
+        self.after(OPENING_LIFE_S, lambda: self._end_attempt(call, port))
 
     def _send_opening(self, call: Call, port: int, copy: int) -> None:
         if call.port == port and not call.opened_with and not call.finished:
-            self._to_vm(call, self._packet(port, SYN, ack=copy))
+            self._to_vm(call, caller_packet(port, SYN, acknowledged=copy))
 
     def _end_attempt(self, call: Call, port: int) -> None:
         if call.port != port or call.opened_with or call.finished:
@@ -347,11 +305,21 @@
         if call is not None and not call.finished:
             self._retry(call)
 
-    def _packet(self, port: int, flags: int, ack: int = 0, echo: int = 0) -> bytes:
-        host, target_port = TARGET
-        return HEADER.pack(
-            0, port, target_port, 0x64400007, host, 0, ack, flags, echo, bytes(4)
+    def _send(self, call: Call, flags: int, data: bytes = b"") -> None:
+        """Send a packet on a flow that is open."""
+        packet = caller_packet(
+            call.port,
+            flags,
+            sequence=call.sent,
+            acknowledged=call.received,
+            echo=call.opened_with,
+            data=data,
         )
+        call.sent += len(data)
+        self._to_vm(call, packet)
+
+    def _send_request(self, call: Call) -> None:
+        self._send(call, ACK, bytes(REQUEST_BYTES))
 
     def _to_vm(self, call: Call, packet: bytes) -> None:
         vm = self.vms[call.vm]
@@ -378,24 +346,24 @@
         intended = INTENDED.unpack_from(packet)[0]
         if intended not in (0, upstream.record.instance):
             return
-        _, port, _, _, _, _, _, flags, echo, _ = HEADER.unpack_from(
-            packet, INTENDED.size
-        )
-        if flags & SYN:
+        taken = Packet.decode(packet, INTENDED.size)
+        if taken.flags & SYN:
             upstream.openings += 1
             name = upstream.record.name
-            self.after(self.caller_s, lambda: self._opened(port, name, echo))
-        elif flags & ACK and not flags & (FIN | RST):
-            call = self._by_port.get(port)
+            self.after(
+                self.caller_s, lambda: self._opened(taken.sport, name, taken.echo)
+            )
+        elif taken.data and not taken.flags & (FIN | RST):
+            call = self._by_port.get(taken.sport)
             if call is not None:
-                self._take_request(upstream, Work(call, port))
+                self._take_request(upstream, Work(call, taken.sport))
 
     def _opened(self, port: int, name: str, echo: int) -> None:
         call = self._by_port.get(port)
         if call is None or call.finished or call.opened_with:
             return
         call.opened_with = echo
-        self._to_vm(call, self._packet(port, ACK, echo=echo))
+        self._send_request(call)
 
     def _take_request(self, upstream: EmulatedUpstream, work: Work) -> None:
         if upstream.busy < SLOTS:
@@ -409,7 +377,7 @@
     def _shed(self, work: Work) -> None:
         call = work.caller
         if call.port == work.number and not call.finished:
-            self._to_vm(call, self._packet(call.port, FIN | ACK, echo=call.opened_with))
+            self._send(call, FIN | ACK)
             self._retry(call)
 
     def _start(self, upstream: EmulatedUpstream, work: Work) -> None:
@@ -430,8 +398,13 @@
         if call.port != work.number or call.finished:
             return
         call.done_at = self.now
-        self._by_port.pop(call.port, None)
-        self._to_vm(call, self._packet(call.port, FIN | ACK, echo=call.opened_with))
+        call.received += ANSWER_BYTES
+        if call.pause_s is None:
+            self._by_port.pop(call.port, None)
+            self._send(call, FIN | ACK)
+            return
+        self._send(call, ACK)
+        self.after(call.pause_s(), lambda: self._call_again(call))
 
     # Results ---------------------------------------------------------------------
 
--- a/egrethook/emulator/soak/peers.py
+++ b/egrethook/emulator/soak/peers.py
@@ -12,19 +12,21 @@
 import anyio
 
 from egrethook.addresses import Address
+from egrethook.callers.forwarded_flow import COPY_DELAYS_S, OPENING_LIFE_S
 from egrethook.callers.segments import Endpoint
 from egrethook.datagrams import DatagramSocket
-from egrethook.platform.packet_header import ACK, FIN, HEADER, INTENDED, RST, SYN
+from egrethook.emulator.packets import Packet
+from egrethook.platform.packet_header import ACK, FIN, FLOW, INTENDED, RST, SYN
 
 RETRANSMIT_S = 0.2
 """Time without an answer after which a caller sends again, in seconds."""
 
-COPY_DELAYS_S = (0.2, 0.6, 1.4)
-"""When a caller sends a copy of its opening, and when it gives up."""
-
 EXCHANGE_LIMIT_S = 3.0
 """Time in which an exchange on an open flow is answered, in seconds."""
 
+SEAL = b"real"
+"""What the ends of a flow put into their packets, and nobody else."""
+
 ATTEMPTS = 3
 """Flows that a caller tries for one request."""
 
@@ -77,7 +79,7 @@
         self.openings: list[tuple[float, str]] = []
         self._caller_port = caller_port
         self._violations = violations
-        self._flows: set[bytes] = set()
+        self._flows: set[tuple[int, ...]] = set()
         self._instance = int(name.rpartition("-")[2], 16)
 
     async def run(self) -> None:
@@ -92,16 +94,25 @@
         (intended,) = INTENDED.unpack_from(datagram)
         if intended not in (0, self._instance):
             return
-        packet = datagram[INTENDED.size :]
-        _, sport, dport, src, dst, _, _, flags, echo, _ = HEADER.unpack_from(packet)
-        flow, body = packet[2:14], packet[HEADER.size :]
-        caller = Address(_text(src), self._caller_port)
+        packet = Packet.decode(datagram, INTENDED.size)
+        flow = packet.src, packet.sport, packet.dst, packet.dport
+        flags, body = packet.flags, packet.data
+        caller = Address(_text(packet.src), self._caller_port)
 
         def reply(flags: int, data: bytes = b"") -> None:
-            head = HEADER.pack(
-                len(data), dport, sport, dst, src, 9, 0, flags, echo, b"real"
+            answer = Packet(
+                sport=packet.dport,
+                dport=packet.sport,
+                src=packet.dst,
+                dst=packet.src,
+                flags=flags,
+                sequence=packet.acknowledged,
+                acknowledged=packet.sequence + len(body),
+                echo=packet.echo,
+                data=data,
+                seal=SEAL,
             )
-            socket.send(caller, head + data)
+            socket.send(caller, answer.encode())
 
         if flags & SYN:
             self.openings.append((time.monotonic(), vm))
@@ -164,12 +175,10 @@
         with self._socket:
             while True:
                 for datagram, _ in await self._socket.receive():
-                    _, _, port, _, _, _, _, flags, echo, mark = HEADER.unpack_from(
-                        datagram
-                    )
-                    inbox = self._inboxes.get(port)
+                    packet = Packet.decode(datagram)
+                    inbox = self._inboxes.get(packet.dport)
                     if inbox is not None:
-                        inbox.put(flags, echo, mark, datagram[HEADER.size :])
+                        inbox.put(packet)
 
     async def request(self, service: str, exchanges: int = 1) -> None:
         """Open a flow, exchange, and close; try again on a new flow."""
@@ -191,15 +200,15 @@
                     return False
                 if exchanges > 1:
                     await anyio.sleep(self._rng.uniform(0.2, 0.8))
-            self._send(service, port, FIN | ACK, inbox.echo)
+            self._send(service, port, FIN | ACK, inbox)
             return True
         finally:
             del self._inboxes[port]
 
     async def _open(self, service: str, port: int, inbox: _Inbox) -> bool:
         began = time.monotonic()
-        for copy, until_s in enumerate(COPY_DELAYS_S):
-            self._send(service, port, SYN, 0, copy)
+        for copy, until_s in enumerate((*COPY_DELAYS_S[1:], OPENING_LIFE_S)):
+            self._send(service, port, SYN, inbox, copy)
             with anyio.move_on_after(began + until_s - time.monotonic()):
                 await inbox.arrived.wait()
             if inbox.reset:
@@ -215,7 +224,7 @@
         until = time.monotonic() + EXCHANGE_LIMIT_S
         while time.monotonic() < until:
             inbox.renew()
-            self._send(service, port, ACK, inbox.echo, 0, wanted)
+            self._send(service, port, ACK, inbox, inbox.received, wanted)
             with anyio.move_on_after(RETRANSMIT_S):
                 await inbox.arrived.wait()
             if inbox.reset:
@@ -224,6 +233,8 @@
             upstream, _, echoed = inbox.body.partition(b" ")
             if echoed == wanted:
                 inbox.upstream = upstream.decode()
+                inbox.sent += len(wanted)
+                inbox.received += len(inbox.body)
                 return True
         return False
 
@@ -238,18 +249,26 @@
         service: str,
         port: int,
         flags: int,
-        echo: int,
-        copies: int = 0,
+        inbox: _Inbox,
+        acknowledged: int = 0,
         data: bytes = b"",
     ) -> None:
         host, target_port = self._targets[service]
-        source = host_number(self._address.host)
-        packet = HEADER.pack(
-            len(data), port, target_port, source, host, 1, copies, flags, echo, b"real"
-        )
-        vm = self._choose_vm(packet[2:14])
+        packet = Packet(
+            sport=port,
+            dport=target_port,
+            src=host_number(self._address.host),
+            dst=host,
+            flags=flags,
+            sequence=inbox.sent,
+            acknowledged=acknowledged,
+            echo=inbox.echo,
+            data=data,
+            seal=SEAL,
+        ).encode()
+        vm = self._choose_vm(packet[FLOW])
         if vm is not None:
-            self._socket.send(vm, packet + data)
+            self._socket.send(vm, packet)
 
 
 class _Inbox:
@@ -262,23 +281,25 @@
         self.forged = False
         self.body = b""
         self.upstream = ""
+        self.sent = 0
+        self.received = 0
 
     def renew(self) -> None:
         """Wait for something new."""
         self.arrived = anyio.Event()
         self.body = b""
 
-    def put(self, flags: int, echo: int, mark: bytes, body: bytes) -> None:
+    def put(self, packet: Packet) -> None:
         """Take a packet."""
-        if flags & RST:
+        if packet.flags & RST:
             self.reset = True
-            self.forged = mark != b"real"
-        elif flags & SYN:
-            self.echo = echo
-        elif flags & FIN:
+            self.forged = packet.seal != SEAL
+        elif packet.flags & SYN:
+            self.echo = packet.echo
+        elif packet.flags & FIN:
             return
         else:
-            self.body = body
+            self.body = packet.data
         self.arrived.set()
 
 
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -195,7 +195,7 @@
             listener(items, before)
 
     def _note_first_packet(self) -> None:
-        if self._dispatcher.open_flows:
+        if self._dispatcher.known_flows:
             self._has_forwarded = True
             _LOG.info(
                 "the first flow is being opened.",
--- a/egrethook/forwarder_metrics.py
+++ b/egrethook/forwarder_metrics.py
@@ -62,14 +62,16 @@
         yield _by_reason("resets", "Openings refused by reason.", counts.reset)
         yield _by_reason("dropped", "Packets dropped by reason.", counts.dropped)
         yield GaugeMetricFamily(
-            "egrethook_flows", "Flows that are counted.", value=dispatcher.open_flows
+            "egrethook_flows",
+            "Flows that are opening or open.",
+            value=dispatcher.known_flows,
         )
         yield GaugeMetricFamily(
             "egrethook_flows_waiting", "Openings that wait.", value=dispatcher.waiting
         )
         for name, text, histogram in (
             ("opening", "From an opening to its answer.", counts.answer_times),
-            ("flow", "From a flow's answer to its end.", counts.flow_times),
+            ("request", "From a request to its answer.", counts.request_times),
             ("wait", "Wait of an opening for room.", counts.wait_times),
         ):
             yield HistogramMetricFamily(
--- a/egrethook/forwarder_settings.py
+++ b/egrethook/forwarder_settings.py
@@ -42,7 +42,7 @@
         60.0
     )
     flow_limit: Annotated[
-        int, _says("most open flows of one upstream through this process", ge=1)
+        int, _says("most busy flows of one upstream through this process", ge=1)
     ] = 3
     leave_s: Annotated[
         float, _says("forward so long after being told to leave, in seconds", ge=0)
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -113,8 +113,8 @@
                 self._gossip.leave()
                 await anyio.sleep(self._settings.leave_s)
                 tasks.cancel_scope.cancel()
-        open_flows = self._forwarder.dispatcher.open_flows
-        _LOG.info("the process stops.", open_flows=open_flows)
+        flows = self._forwarder.dispatcher.known_flows
+        _LOG.info("the process stops.", open_flows=flows)
 
     async def _wait_for_leave(self) -> None:
         with anyio.open_signal_receiver(
--- a/egrethook/operators/explain.py
+++ b/egrethook/operators/explain.py
@@ -13,7 +13,7 @@
 _FLOW_MESSAGES = {
     "flows: an opening is sent to an upstream.": "sent to {upstream}"
     " ({failure_domain}; attempt {attempt}, {candidates} candidates,"
-    " {open_flows} flows open there, waited {waited_ms} ms;"
+    " {busy_flows} flows busy there, waited {waited_ms} ms;"
     " version {version}, revision {revision})",
     "flows: an opening had no answer; it went to a further upstream.": "{silent} did"
     " not answer ({silent_openings} silent openings in a row); sent to {upstream}",
--- a/egrethook/platform/packet_header.py
+++ b/egrethook/platform/packet_header.py
@@ -30,7 +30,7 @@
         """Return the header of a packet, or None if it has none."""
         if len(datagram) < HEADER.size:
             return None
-        length, sport, dport, src, dst, _, ack, flags, echo, _ = HEADER.unpack_from(
+        length, sport, dport, src, dst, seq, ack, flags, echo, _ = HEADER.unpack_from(
             datagram
         )
         opens = flags & SYN != 0
@@ -44,6 +44,7 @@
             token=echo,
             # In a SYN, `ack` says which copy it is.
             copies=ack if opens else 0,
+            sequence=seq,
             acknowledged=0 if opens else ack,
             length=length,
         )
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -9,10 +9,10 @@
 from egrethook.upstreams.upstream import Upstream
 
 REMOTE_COST = 0.7
-"""What a way to another failure domain counts for, in open flows."""
+"""What a way to another failure domain counts for, in busy flows."""
 
 SILENT_DOMAIN_COST = 3.0
-"""What a failure domain that has left this opening unanswered counts for, in flows."""
+"""What a failure domain that left this opening unanswered counts for, in busy flows."""
 
 SLOW_FACTOR = 2.0
 """An upstream whose mean service time exceeds the service's by this is slow."""
@@ -29,14 +29,14 @@
 
 
 class LeastFlowsSelector:
-    """Prefers the fewest open flows, its own failure domain and good answers.
+    """Prefers the fewest busy flows, its own failure domain and good answers.
 
     Parameters
     ----------
     domain : str
         The failure domain of this balancer.
     flow_limit : int
-        Most open flows of one upstream through this balancer.
+        Most busy flows of one upstream through this balancer.
     cold : ColdAdmission
         Bounds what cold upstreams get.
     """
@@ -49,7 +49,7 @@
 
     @property
     def flow_limit(self) -> int:
-        """Most open flows of one upstream through this balancer."""
+        """Most busy flows of one upstream through this balancer."""
         return self._flow_limit
 
     @flow_limit.setter
@@ -66,7 +66,7 @@
         roomy = [
             one
             for one in pool
-            if one.open_flows < self._flow_limit and self._cold.admits(one, now)
+            if one.busy_flows < self._flow_limit and self._cold.admits(one, now)
         ]
         if not roomy:
             return None
@@ -85,9 +85,13 @@
         times = sorted(one.service_time_s for one in pool if one.service_time_s)
         typical_s = times[len(times) // 2] if times else 0.0
         domain = self._domain
+        # What an idle flow will cost: the share of time for which flows are busy.
+        busy = sum(one.busy_flows for one in pool)
+        idle = sum(one.idle_flows for one in pool)
+        idle_weight = busy / (busy + idle) if idle else 0.0
 
         def cost(one: Upstream) -> float:
-            value = one.open_flows + 1.0
+            value = one.busy_flows + idle_weight * one.idle_flows + 1.0
             if one.service_time_s > SLOW_FACTOR * typical_s > 0.0:
                 value *= one.service_time_s / typical_s
             if one.domain != domain:
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -7,7 +7,7 @@
 from egrethook.discovery.records import UpstreamPhase, UpstreamRecord
 
 ANSWER_WEIGHT = 0.2
-"""Weight of the newest flow in the running mean of service times."""
+"""Weight of the newest request in the running mean of service times."""
 
 
 def flow_token(record: UpstreamRecord) -> int:
@@ -35,12 +35,13 @@
         "_record",
         "address",
         "answered_at",
+        "busy_flows",
         "distrusted_until",
         "domain",
         "gone_at",
+        "idle_flows",
         "instance",
         "name",
-        "open_flows",
         "service",
         "service_time_s",
         "token",
@@ -56,7 +57,8 @@
         self.address = record.address
         self.domain = record.failure_domain
         self.token = flow_token(record)
-        self.open_flows = 0
+        self.busy_flows = 0
+        self.idle_flows = 0
         self.unanswered = 0
         self.answered_at = float("-inf")
         self.distrusted_until = float("-inf")
@@ -91,7 +93,7 @@
         return now < self.distrusted_until
 
     def note_service_time(self, seconds: float) -> None:
-        """Count the time that one flow took from its opening to its end."""
+        """Count the time from one request to its answer."""
         if not self.service_time_s:
             self.service_time_s = seconds
             return
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -10,7 +10,7 @@
 from egrethook.balancers.gossip_codec import MemberInfo
 from egrethook.balancers.gossip_members import GossipMembers
 from egrethook.discovery.records import ColdLimit
-from egrethook.emulator.flow_world import SERVICE, upstream_record
+from egrethook.emulator.flow_records import SERVICE, upstream_record
 from egrethook.upstreams.cold_limit import SENDERS, FleetColdLimit
 from egrethook.upstreams.selection import LeastFlowsSelector
 from egrethook.upstreams.upstream import Upstream
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -113,7 +113,7 @@
         "failure_domain": "zone-b",
         "attempt": 1,
         "candidates": 4,
-        "open_flows": 1,
+        "busy_flows": 1,
         "waited_ms": 0,
         "version": 7,
         "revision": 41,
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -5,10 +5,11 @@
 from egrethook.callers.flow_dispatch import RESEND_S, FlowDispatcher
 from egrethook.discovery.records import ItemKind, PublishedItem, UpstreamPhase
 from egrethook.discovery.view import ForwardingView
-from egrethook.emulator.flow_world import (
+from egrethook.emulator.flow_records import (
     TARGET,
     AlwaysAdmits,
     PlainDecoder,
+    caller_packet,
     route_table,
     upstream_record,
 )
@@ -38,9 +39,9 @@
         self.to_callers.append((caller, packet))
 
 
-def packet(port, flags, ack=0, echo=0, target=TARGET):
-    return HEADER.pack(
-        0, port, target[1], 0x64400007, target[0], 7, ack, flags, echo, b"sum!"
+def packet(port, flags, ack=0, echo=0, target=TARGET, **fields):
+    return caller_packet(
+        port, flags, target, acknowledged=ack, echo=echo, seal=b"sum!", **fields
     )
 
 
@@ -124,8 +125,8 @@
     assert bench.sent() == ["a"]
     bench.dispatcher.tick(RESEND_S[0])
     assert bench.sent() == ["b"]
-    assert bench.upstream("a").open_flows == 0
-    assert bench.upstream("b").open_flows == 1
+    assert bench.upstream("a").busy_flows == 0
+    assert bench.upstream("b").busy_flows == 1
 
 
 def test_second_try_leaves_the_silent_failure_domain():
@@ -136,7 +137,7 @@
         bench.put(ItemKind.UPSTREAM, name, record)
     record = upstream_record("c", "zone-c")
     bench.put(ItemKind.UPSTREAM, "c", record)
-    bench.upstream("c").open_flows = 2
+    bench.upstream("c").busy_flows = 2
     bench.dispatcher.handle(packet(2000, SYN), 0.0)
     assert bench.sent()[0].startswith("b")
     bench.dispatcher.tick(0.1)
@@ -151,8 +152,8 @@
     echo = bench.upstream("a").token
     bench.dispatcher.handle(packet(2000, ACK, echo=echo), 0.11)
     assert bench.sent() == ["a"]
-    assert bench.upstream("a").open_flows == 1
-    assert bench.upstream("b").open_flows == 0
+    assert bench.upstream("a").busy_flows == 1
+    assert bench.upstream("b").busy_flows == 0
 
 
 def test_upstream_that_stays_silent_is_distrusted_until_it_answers():
@@ -187,7 +188,63 @@
     bench = Bench(names=("a",), flow_limit=1)
     bench.open(2000, 0.0)
     bench.dispatcher.tick(4.0)
-    assert bench.upstream("a").open_flows == 0
+    assert bench.upstream("a").busy_flows == 0
+
+
+def test_kept_flow_takes_room_only_while_a_request_is_under_way():
+    bench = Bench(names=("a",), flow_limit=1)
+    echo = bench.upstream("a").token
+
+    def send(now, sequence, ack, data=b""):
+        later = packet(2000, ACK, ack, echo, sequence=sequence, data=data)
+        bench.dispatcher.handle(later, now)
+
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    send(0.01, 1, 500, b"request")
+    assert bench.upstream("a").busy_flows == 1
+    bench.dispatcher.handle(packet(2001, SYN), 0.02)
+    assert bench.dispatcher.waiting == 1
+    send(0.04, 8, 900)
+    assert bench.dispatcher.waiting == 0
+    assert bench.upstream("a").idle_flows == 1
+    # The packet that brought the room is sent on, like the opening that waited.
+    assert bench.sent() == ["a", "a", "a", "a"]
+    bench.dispatcher.handle(packet(2001, FIN | ACK, echo=echo), 0.05)
+    send(5.0, 8, 900, b"second")
+    assert (bench.upstream("a").busy_flows, bench.upstream("a").idle_flows) == (1, 0)
+    send(5.0, 8, 900, b"second")
+    send(5.04, 14, 1400)
+    assert (bench.upstream("a").busy_flows, bench.upstream("a").idle_flows) == (0, 1)
+
+
+def test_packet_sent_again_is_no_new_request():
+    bench = Bench(names=("a",))
+    echo = bench.upstream("a").token
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    asked = packet(2000, ACK, 500, echo, sequence=1, data=b"request")
+    bench.dispatcher.handle(asked, 0.01)
+    bench.dispatcher.handle(packet(2000, ACK, 900, echo, sequence=8), 0.04)
+    bench.dispatcher.handle(asked, 0.21)
+    assert bench.upstream("a").busy_flows == 0
+
+
+def test_flow_of_another_balancer_is_followed_from_its_next_request():
+    bench = Bench()
+    echo = bench.upstream("b").token
+    asked = packet(2000, ACK, 500, echo, sequence=1, data=b"request")
+    bench.dispatcher.handle(asked, 0.0)
+    assert bench.upstream("b").busy_flows == 1
+    bench.dispatcher.handle(packet(2000, FIN | ACK, 900, echo, sequence=8), 0.1)
+    assert bench.upstream("b").busy_flows == bench.upstream("b").idle_flows == 0
+
+
+def test_new_flows_even_out_kept_ones():
+    bench = Bench(names=("a", "b"))
+    a, b = bench.upstream("a"), bench.upstream("b")
+    a.busy_flows, a.idle_flows = 1, 9
+    b.busy_flows, b.idle_flows = 1, 1
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    assert bench.sent() == ["b"]
 
 
 def test_caller_that_has_given_up_is_not_served_and_blames_nobody():
--- a/tests/test_flow_load.py
+++ b/tests/test_flow_load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import pytest
 
 from egrethook.callers import flow_dispatch
@@ -55,6 +57,23 @@
     assert world.on_time() < 0.97
 
 
+def test_callers_that_keep_flows_open_leave_room_for_new_ones():
+    """Forty flows stay open with pauses; three busy ones fill an upstream here."""
+    world = make_world(upstreams=4)
+
+    def pause_s():
+        return world.rng.expovariate(1.0)
+
+    for number in range(40):
+        keep = partial(world.call, number % len(world.vms), pause_s=pause_s)
+        world.after(number * 0.05, keep)
+    offer(world, 40.0, 2.0, 6.0)
+    world.run(5.9)
+    done = [call for call in world.calls if call.began_at < 4.5]
+    timely = sum(one.done_at is not None and one.latency_s <= 0.15 for one in done)
+    assert timely / len(done) > 0.99
+
+
 def burst(world):
     """All callers return at the moment when the fleet is back."""
     for number in range(400):
@@ -128,5 +147,5 @@
     queue = WaitingQueue()
     for number in range(40):
         queue.push(Waiting(1, 0.0, 1.0, str(number).encode()))
-    assert not queue.is_full(open_flows=6, flow_s=0.05)
-    assert queue.is_full(open_flows=2, flow_s=0.05)
+    assert not queue.is_full(busy_flows=6, flow_s=0.05)
+    assert queue.is_full(busy_flows=2, flow_s=0.05)
