Let the limit of busy flows follow how promptly upstreams answer

Cause: three busy flows an upstream and balancer, whatever happens. With few VMs and large upstreams the same limit leaves slots empty.

Change: the limit starts at 3, or one more than the upstream's slots, grows while answers come within half of the latency objective and is cut by a fifth by each that does not. What waits is judged at the moment of its turn by how long answers take, and is refused only if its caller gives up before its turn.

--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -25,6 +25,7 @@
 from egrethook.line_log import LineLog
 from egrethook.logs import LogDestination, set_destination
 from egrethook.platform.packet_header import ACK, FIN, FLOW, SYN, PacketHeader
+from egrethook.upstreams.flow_limit import PromptnessLimit
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import LeastFlowsSelector
 
@@ -76,9 +77,12 @@
         for one in records
     ]
     view.update(items, 0.0)
-    selector = LeastFlowsSelector("zone-0", 3, AlwaysAdmits())
+    limit = PromptnessLimit(3)
+    selector = LeastFlowsSelector("zone-0", limit, AlwaysAdmits())
     port = _SocketPort()
-    dispatcher = FlowDispatcher(view, PacketHeader(), port, selector, PassiveHealth())
+    dispatcher = FlowDispatcher(
+        view, PacketHeader(), port, selector, limit, PassiveHealth()
+    )
     token = view.roster.all()[0].token
     began = time.process_time()
     for number in range(FLOWS):
--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -14,9 +14,10 @@
 from egrethook.callers.waiting import Waiting, WaitingQueue
 from egrethook.discovery.view import ForwardingView, pick_service
 from egrethook.logs import PartLog
+from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import UpstreamSelector
-from egrethook.upstreams.upstream import Upstream
+from egrethook.upstreams.upstream import Upstream, upstream_load
 
 RESEND_S = (0.045, 0.15)
 """Time without an answer after which an opening goes to a second upstream, in seconds.
@@ -76,6 +77,8 @@
         Sends packets.
     selector : UpstreamSelector
         Chooses upstreams.
+    limit : FlowLimit
+        Learns how fast upstreams answer.
     health : PassiveHealth
         Judges upstreams by what their flows show.
     """
@@ -86,12 +89,14 @@
         codec: SegmentCodec,
         port: PacketPort,
         selector: UpstreamSelector,
+        limit: FlowLimit,
         health: PassiveHealth,
     ) -> None:
         self._view = view
         self._codec = codec
         self._port = port
         self._selector = selector
+        self._limit = limit
         self._health = health
         self._flows: dict[bytes, Flow] = {}
         self._unanswered: OrderedDict[bytes, float] = OrderedDict()
@@ -147,9 +152,8 @@
                 break
             del unanswered[flow_key]
             self._resend(flow_key, now)
-        for queue in self._queues.values():
-            if queue:
-                self._serve_queue(queue, now)
+        for service in self._queues:
+            self._serve_waiting(service, now)
         if now - self._swept_at > 0.5:
             self._swept_at = now
             self._sweep(now)
@@ -268,28 +272,29 @@
     # Waiting -------------------------------------------------------------------
 
     def _enqueue(self, flow: Flow, now: float) -> None:
+        """Let an opening wait, or refuse it if its caller gives up before its turn."""
         queue = self._queues.setdefault(flow.service, WaitingQueue())
-        candidates = self._view.candidates(flow.service)
-        busy_flows = sum(one.busy_flows for one in candidates)
-        flow_s = max((one.service_time_s for one in candidates), default=0.0)
-        if queue.is_full(busy_flows, max(flow_s, SERVICE_S)):
+        load = upstream_load(self._view.candidates(flow.service), SERVICE_S)
+        wait_s = queue.wait_s(load.answers_per_s)
+        if now + wait_s + SERVICE_S > flow.given_up_at:
             self._reset(
                 flow.segment,
                 "too many wait",
                 waiting=len(queue),
-                busy_flows=busy_flows,
-                flow_ms=round(flow_s * 1000),
+                busy_flows=load.busy_flows,
+                wait_ms=round(min(wait_s, flow.route.timeout_s) * 1000),
             )
             return
         self._counts.waited += 1
         flow.seen_at = now
         self._flows[flow.segment.flow] = flow
-        on_time_until = flow.first_sent_at + flow.route.objective_s - SERVICE_S
-        queue.push(Waiting(flow.route.priority, now, on_time_until, flow.segment.flow))
+        due = flow.first_sent_at + flow.route.objective_s
+        queue.push(Waiting(flow.route.priority, now, due, flow.segment.flow))
 
-    def _serve_queue(self, queue: WaitingQueue, now: float) -> None:
+    def _serve_queue(self, service: str, queue: WaitingQueue, now: float) -> None:
         """Send waiting openings while there is room."""
-        for waiting in queue.in_order(now):
+        load = upstream_load(self._view.candidates(service), SERVICE_S)
+        for waiting in queue.in_order(now, max(load.service_s, SERVICE_S)):
             flow = self._flows.get(waiting.flow)
             if flow is None or flow.state is not FlowState.WAITING:
                 continue
@@ -367,7 +372,9 @@
         """Count a request while its answer has not begun to arrive."""
         if flow.is_answered_by(segment):
             service_s = now - flow.sent_at
-            flow.tried[0].note_service_time(service_s)
+            upstream = flow.tried[0]
+            upstream.note_service_time(service_s)
+            self._limit.note_answer(upstream, service_s, flow.route.objective_s)
             self._counts.request_times.observe(service_s)
             flow.note_answer(segment)
         if flow.is_asked_by(segment):
@@ -378,7 +385,7 @@
     def _serve_waiting(self, service: str, now: float) -> None:
         queue = self._queues.get(service)
         if queue:
-            self._serve_queue(queue, now)
+            self._serve_queue(service, queue, now)
 
     def _forget(self, flow: Flow) -> None:
         del self._flows[flow.segment.flow]
--- a/egrethook/callers/waiting.py
+++ b/egrethook/callers/waiting.py
@@ -9,9 +9,6 @@
 QUEUE_FLOOR = 16
 """Openings that may always wait."""
 
-QUEUE_WAIT_S = 0.9
-"""Longest wait for room that is worth while, in seconds."""
-
 
 class Waiting(NamedTuple):
     """An opening that waits; the smallest is served first.
@@ -22,15 +19,15 @@
         0 is the highest.
     since : float
         When it arrived, in seconds.
-    on_time_until : float
-        Until when it can be answered within its objective, in seconds.
+    due : float
+        When its latency objective ends, in seconds.
     flow : bytes
         The flow's key.
     """
 
     priority: int
     since: float
-    on_time_until: float
+    due: float
     flow: bytes
 
 
@@ -49,31 +46,36 @@
     def __len__(self) -> int:
         return len(self._on_time) + len(self._late)
 
-    def is_full(self, busy_flows: int, flow_s: float) -> bool:
-        """Return whether one more would wait longer than is worth while.
+    def wait_s(self, answers_per_s: float) -> float:
+        """Return how long one more opening would wait, in seconds.
 
         Parameters
         ----------
-        busy_flows : int
-            Flows whose requests the upstreams work at now.
-        flow_s : float
-            How long a request takes, in seconds.
+        answers_per_s : float
+            How many requests the upstreams finish in a second.
         """
-        rate_per_s = busy_flows / flow_s
-        return len(self) >= max(QUEUE_FLOOR, rate_per_s * QUEUE_WAIT_S)
+        if len(self) < QUEUE_FLOOR:
+            return 0.0
+        return len(self) / answers_per_s if answers_per_s else float("inf")
 
     def push(self, opening: Waiting) -> None:
         """Let an opening wait."""
         heappush(self._on_time, opening)
 
-    def in_order(self, now: float) -> Iterator[Waiting]:
-        """Yield what is to be served next, for as long as the caller takes it."""
+    def in_order(self, now: float, service_s: float) -> Iterator[Waiting]:
+        """Yield what is to be served next, for as long as the caller takes it.
+
+        Parameters
+        ----------
+        service_s : float
+            How long an answer takes once its opening has been sent, in seconds.
+        """
         while len(self):
-            self._move_late(now)
+            self._move_late(now + service_s)
             queue = self._on_time or self._late
             yield queue[0]
             heappop(queue)
 
-    def _move_late(self, now: float) -> None:
-        while self._on_time and self._on_time[0].on_time_until < now:
+    def _move_late(self, answered_at: float) -> None:
+        while self._on_time and self._on_time[0].due < answered_at:
             heappush(self._late, heappop(self._on_time))
--- a/egrethook/emulator/flow_records.py
+++ b/egrethook/emulator/flow_records.py
@@ -41,6 +41,28 @@
         """Count nothing."""
 
 
+class FixedLimit:
+    """Lets each upstream have the same number of busy flows, however it answers.
+
+    Parameters
+    ----------
+    most : int
+        Busy flows of one upstream through one balancer.
+    """
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+
+    def admits(self, upstream: Upstream) -> bool:
+        """Return whether one more flow may be busy."""
+        return upstream.busy_flows < self._most
+
+    def note_answer(
+        self, upstream: Upstream, service_s: float, objective_s: float
+    ) -> None:
+        """Learn nothing."""
+
+
 class PlainDecoder:
     """Takes records that were put into a dictionary instead of encoding them."""
 
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -34,12 +34,14 @@
 )
 from egrethook.emulator.packets import Packet
 from egrethook.platform.packet_header import ACK, FIN, INTENDED, RST, SYN, PacketHeader
+from egrethook.upstreams.flow_limit import FlowLimit, PromptnessLimit
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import LeastFlowsSelector
 
 TICK_S = 0.01
 RETRIES = 2
 QUEUE_LIMIT = 8
+FLOW_LIMIT = 3
 REQUEST_BYTES = 168
 ANSWER_BYTES = 1_000
 
@@ -54,7 +56,7 @@
 
 @dataclass
 class EmulatedUpstream:
-    """Two slots and a short queue; a full queue sheds.
+    """A few slots and a short queue; a full queue sheds.
 
     Parameters
     ----------
@@ -139,6 +141,10 @@
     up: bool = True
 
 
+def _new_limit() -> FlowLimit:
+    return PromptnessLimit(FLOW_LIMIT)
+
+
 class FlowWorld:
     """The event queue and everything that takes part.
 
@@ -150,8 +156,8 @@
         A balancer stands in each.
     caller_s, between_s : float
         One-way delays to callers and between failure domains, in seconds.
-    flow_limit : int
-        Most busy flows of one upstream through one balancer.
+    new_limit : callable
+        Makes what bounds the busy flows of each upstream through one balancer.
     """
 
     def __init__(
@@ -160,12 +166,12 @@
         domains: tuple[str, ...],
         caller_s: float = 0.003,
         between_s: float = 0.003,
-        flow_limit: int = 3,
+        new_limit: Callable[[], FlowLimit] = _new_limit,
     ) -> None:
         self.rng = random.Random(seed)
         self.caller_s = caller_s
         self._between_s = between_s
-        self._flow_limit = flow_limit
+        self._new_limit = new_limit
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -182,19 +188,23 @@
 
     def _new_vm(self, domain: str) -> EmulatedVm:
         view = ForwardingView(self.decoder, flow_life_s=60.0)
+        limit = self._new_limit()
         dispatcher = FlowDispatcher(
             view,
             PacketHeader(),
             _Port(self, domain),
-            LeastFlowsSelector(domain, self._flow_limit, AlwaysAdmits()),
+            LeastFlowsSelector(domain, limit, AlwaysAdmits()),
+            limit,
             PassiveHealth(),
         )
         dispatcher.trusts_view = True
         return EmulatedVm(domain, view, dispatcher)
 
-    def add_upstream(self, name: str, domain: str) -> EmulatedUpstream:
+    def add_upstream(
+        self, name: str, domain: str, slots: int = SLOTS
+    ) -> EmulatedUpstream:
         """Add an upstream that no balancer knows yet."""
-        record = upstream_record(name, domain)
+        record = upstream_record(name, domain, slots=slots)
         self.upstreams[name] = EmulatedUpstream(record)
         return self.upstreams[name]
 
@@ -366,7 +376,7 @@
         self._send_request(call)
 
     def _take_request(self, upstream: EmulatedUpstream, work: Work) -> None:
-        if upstream.busy < SLOTS:
+        if upstream.busy < upstream.record.slots:
             self._start(upstream, work)
         elif len(upstream.queue) < QUEUE_LIMIT:
             upstream.queue.append(work)
@@ -416,6 +426,11 @@
         )
         return timely / len(self.calls)
 
+    def worth(self, objective_s: float = 0.15, late_worth: float = 0.3) -> float:
+        """Return the mean worth of calls: 1 on time, less when late, else 0."""
+        on_time = self.on_time(objective_s)
+        return on_time + late_worth * (self.answered() - on_time)
+
     def answered(self) -> float:
         """Return the share of calls that were answered at all."""
         return sum(call.done_at is not None for call in self.calls) / len(self.calls)
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -18,6 +18,7 @@
 from egrethook.forwarder_settings import ForwarderSettings
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
+from egrethook.upstreams.flow_limit import PromptnessLimit
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import LeastFlowsSelector
 
@@ -86,16 +87,18 @@
         self._listeners: list[ChangeListener] = []
         self._replica = Replica(self._on_changes)
         self._is_sender: Callable[[str], bool] = _nobody
-        self._selector = LeastFlowsSelector(
+        self._flow_limit = PromptnessLimit(settings.flow_limit)
+        selector = LeastFlowsSelector(
             settings.failure_domain,
-            settings.flow_limit,
+            self._flow_limit,
             FleetColdLimit(self._cold_limits, lambda one: self._is_sender(one.name)),
         )
         self._dispatcher = FlowDispatcher(
             self._view,
             codec,
             CallerPort(self._socket),
-            self._selector,
+            selector,
+            self._flow_limit,
             PassiveHealth(),
         )
         self._has_forwarded = False
@@ -167,7 +170,7 @@
     def apply_settings(self, settings: ForwarderSettings) -> None:
         """Take the settings that need no restart."""
         self._settings = settings
-        self._selector.flow_limit = settings.flow_limit
+        self._flow_limit.start = settings.flow_limit
 
     def set_senders(self, is_sender: Callable[[str], bool]) -> None:
         """Set which cold upstreams this balancer may send to."""
--- a/egrethook/forwarder_settings.py
+++ b/egrethook/forwarder_settings.py
@@ -42,7 +42,11 @@
         60.0
     )
     flow_limit: Annotated[
-        int, _says("most busy flows of one upstream through this process", ge=1)
+        int,
+        _says(
+            "busy flows of one upstream through this process, before any answer",
+            ge=1,
+        ),
     ] = 3
     leave_s: Annotated[
         float, _says("forward so long after being told to leave, in seconds", ge=0)
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from egrethook.upstreams.cold_limit import ColdAdmission
+from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.upstream import Upstream
 
 REMOTE_COST = 0.7
@@ -35,27 +36,18 @@
     ----------
     domain : str
         The failure domain of this balancer.
-    flow_limit : int
-        Most busy flows of one upstream through this balancer.
+    limit : FlowLimit
+        Bounds the busy flows of each upstream.
     cold : ColdAdmission
         Bounds what cold upstreams get.
     """
 
-    def __init__(self, domain: str, flow_limit: int, cold: ColdAdmission) -> None:
+    def __init__(self, domain: str, limit: FlowLimit, cold: ColdAdmission) -> None:
         self._cold = cold
         self._domain = domain
-        self._flow_limit = flow_limit
+        self._limit = limit
         self._turn = 0
 
-    @property
-    def flow_limit(self) -> int:
-        """Most busy flows of one upstream through this balancer."""
-        return self._flow_limit
-
-    @flow_limit.setter
-    def flow_limit(self, limit: int) -> None:
-        self._flow_limit = limit
-
     def choose(
         self, candidates: Iterable[Upstream], tried: Collection[Upstream], now: float
     ) -> Upstream | None:
@@ -66,7 +58,7 @@
         roomy = [
             one
             for one in pool
-            if one.busy_flows < self._flow_limit and self._cold.admits(one, now)
+            if self._limit.admits(one) and self._cold.admits(one, now)
         ]
         if not roomy:
             return None
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from typing import NamedTuple
 from zlib import crc32
 
 from egrethook.discovery.records import UpstreamPhase, UpstreamRecord
@@ -38,6 +40,7 @@
         "busy_flows",
         "distrusted_until",
         "domain",
+        "flow_limit",
         "gone_at",
         "idle_flows",
         "instance",
@@ -59,6 +62,7 @@
         self.token = flow_token(record)
         self.busy_flows = 0
         self.idle_flows = 0
+        self.flow_limit: float | None = None
         self.unanswered = 0
         self.answered_at = float("-inf")
         self.distrusted_until = float("-inf")
@@ -98,3 +102,39 @@
             self.service_time_s = seconds
             return
         self.service_time_s += ANSWER_WEIGHT * (seconds - self.service_time_s)
+
+
+class UpstreamLoad(NamedTuple):
+    """What several upstreams do for one balancer.
+
+    Parameters
+    ----------
+    busy_flows : int
+        Flows whose requests they work at.
+    answers_per_s : float
+        Requests that they finish in a second, by Little's law.
+    """
+
+    busy_flows: int
+    answers_per_s: float
+
+    @property
+    def service_s(self) -> float:
+        """The mean time of a request, in seconds; 0 while there is none."""
+        return self.busy_flows / self.answers_per_s if self.busy_flows else 0.0
+
+
+def upstream_load(upstreams: Iterable[Upstream], least_s: float) -> UpstreamLoad:
+    """Return the load of some upstreams.
+
+    Parameters
+    ----------
+    least_s : float
+        The shortest time that a request is taken to need, in seconds.
+    """
+    busy_flows = 0
+    answers_per_s = 0.0
+    for one in upstreams:
+        busy_flows += one.busy_flows
+        answers_per_s += one.busy_flows / max(one.service_time_s, least_s)
+    return UpstreamLoad(busy_flows, answers_per_s)
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -8,6 +8,7 @@
 from egrethook.emulator.flow_records import (
     TARGET,
     AlwaysAdmits,
+    FixedLimit,
     PlainDecoder,
     caller_packet,
     route_table,
@@ -52,11 +53,13 @@
         self.decoder = PlainDecoder()
         self.view = ForwardingView(self.decoder, flow_life_s=60.0)
         self.port = RecordingPort()
+        limit = FixedLimit(flow_limit)
         self.dispatcher = FlowDispatcher(
             self.view,
             PacketHeader(),
             self.port,
-            LeastFlowsSelector("zone-a", flow_limit, AlwaysAdmits()),
+            LeastFlowsSelector("zone-a", limit, AlwaysAdmits()),
+            limit,
             PassiveHealth(),
         )
         self.revision = 0
--- a/tests/test_flow_load.py
+++ b/tests/test_flow_load.py
@@ -8,7 +8,10 @@
 
 from egrethook.callers import flow_dispatch
 from egrethook.callers.waiting import Waiting, WaitingQueue
+from egrethook.emulator.flow_records import FixedLimit, upstream_record
 from egrethook.emulator.flow_world import FlowWorld
+from egrethook.upstreams.flow_limit import PromptnessLimit
+from egrethook.upstreams.upstream import Upstream, upstream_load
 
 DOMAINS = ("zone-a", "zone-b")
 
@@ -92,7 +95,7 @@
 
 
 def test_first_come_first_served_makes_later_callers_late(monkeypatch):
-    def in_order(queue, now):
+    def in_order(queue, now, service_s):
         while queue._on_time:
             yield queue._on_time[0]
             queue._on_time.pop(0)
@@ -105,6 +108,77 @@
     assert timely / len(later) < 0.9
 
 
+OUTAGE_SHARES = (0.17, 0.17, 0.11, 0.11, 0.11, 0.33)
+"""What each of six balancers gets; the last stands alone in its failure domain."""
+
+
+def return_after_outage(seed, **options):
+    """All callers return to six fresh balancers; a third of them to one alone."""
+    world = FlowWorld(seed, ("a", "a", "b", "b", "b", "c"), **options)
+    for number in range(7):
+        world.add_upstream(f"up-{number}", "abc"[number % 3])
+    for vm in world.vms:
+        world.publish(vm)
+
+    def arrive(shortest_s):
+        vm = world.rng.choices(range(6), OUTAGE_SHARES)[0]
+        world.call(vm, deadline_s=world.rng.uniform(shortest_s, 2.0))
+
+    for _ in range(420):
+        world.after(world.rng.uniform(0.0, 0.4), partial(arrive, 0.4))
+    for number in range(800):
+        world.after(number / 200, partial(arrive, 2.0))
+    world.run(7.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_busy_balancer_gets_the_room_that_others_leave(seed):
+    fixed = return_after_outage(seed, new_limit=partial(FixedLimit, 3))
+    prompt = return_after_outage(seed)
+    assert prompt.answered() > 0.96
+    assert 1.0 - prompt.answered() < 0.5 * (1.0 - fixed.answered())
+    assert prompt.worth() > fixed.worth()
+
+
+def test_one_balancer_fills_upstreams_of_many_slots():
+    world = FlowWorld(1, ("zone-a",))
+    for number in range(2):
+        world.add_upstream(f"up-{number}", "zone-a", slots=12)
+    world.publish(world.vms[0])
+    offer(world, 600.0, 0.0, 4.0)
+    world.run(7.0)
+    assert world.answered() == 1.0
+    assert world.on_time() > 0.99
+
+
+def test_limit_follows_how_promptly_an_upstream_answers():
+    limit = PromptnessLimit(3)
+    upstream = Upstream(upstream_record("a", "zone", slots=2), 0.0)
+    objective_s = 0.2
+    upstream.busy_flows = 3
+    assert not limit.admits(upstream)
+    for _ in range(4):
+        limit.note_answer(upstream, 0.02, objective_s)
+    assert limit.admits(upstream)
+    for _ in range(40):
+        limit.note_answer(upstream, 0.19, objective_s)
+    upstream.busy_flows = 1
+    assert not limit.admits(upstream)
+    upstream.busy_flows = 0
+    assert limit.admits(upstream)
+
+
+def test_limit_grows_only_where_it_was_used_up():
+    limit = PromptnessLimit(3)
+    upstream = Upstream(upstream_record("a", "zone", slots=2), 0.0)
+    upstream.busy_flows = 1
+    for _ in range(100):
+        limit.note_answer(upstream, 0.02, 0.2)
+    upstream.busy_flows = 3
+    assert not limit.admits(upstream)
+
+
 def test_what_cannot_be_served_in_time_is_refused_at_once():
     world = make_world(upstreams=1)
     offer(world, 600.0, 0.0, 3.0)
@@ -140,12 +214,27 @@
     queue = WaitingQueue()
     queue.push(Waiting(0, 0.0, 0.1, b"late"))
     queue.push(Waiting(5, 0.5, 0.6, b"on time"))
-    assert [one.flow for one in queue.in_order(0.55)] == [b"on time", b"late"]
+    assert [one.flow for one in queue.in_order(0.5, 0.05)] == [b"on time", b"late"]
 
 
-def test_queue_is_bounded_by_what_upstreams_finish():
+def test_wait_is_worked_out_from_what_upstreams_finish():
     queue = WaitingQueue()
     for number in range(40):
         queue.push(Waiting(1, 0.0, 1.0, str(number).encode()))
-    assert not queue.is_full(busy_flows=6, flow_s=0.05)
-    assert queue.is_full(busy_flows=2, flow_s=0.05)
+    assert queue.wait_s(answers_per_s=120.0) == pytest.approx(1 / 3)
+    assert queue.wait_s(answers_per_s=0.0) == float("inf")
+
+
+def test_short_queue_refuses_nobody():
+    queue = WaitingQueue()
+    queue.push(Waiting(1, 0.0, 1.0, b"first"))
+    assert queue.wait_s(answers_per_s=0.0) == 0.0
+
+
+def test_load_of_unlike_upstreams_adds_up():
+    fast, slow = (Upstream(upstream_record(n, "zone"), 0.0) for n in "ab")
+    fast.busy_flows, fast.service_time_s = 2, 0.05
+    slow.busy_flows, slow.service_time_s = 2, 0.5
+    load = upstream_load((fast, slow), 0.05)
+    assert load.busy_flows == 4
+    assert load.answers_per_s == pytest.approx(44.0)
