Tell neighbours of silent upstreams; avoid where a caller was reset

Change: a balancer tells those of its failure domain of each silence, with its length, and of answers after distrust; what it hears counts like its own, unless it has had an answer since. A caller that returns before its last opening was answered avoids that upstream and its domain. One token bucket serves reports, log lines and cold upstreams.

--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -81,7 +81,7 @@
     selector = LeastFlowsSelector("zone-0", limit, AlwaysAdmits())
     port = _SocketPort()
     dispatcher = FlowDispatcher(
-        view, PacketHeader(), port, selector, limit, PassiveHealth()
+        view, PacketHeader(), port, selector, limit, PassiveHealth("vm")
     )
     token = view.roster.all()[0].token
     began = time.process_time()
--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Awaitable, Callable, Sequence
+from typing import Protocol
 
 import anyio
 
@@ -12,6 +13,8 @@
     DATAGRAM_LIMIT,
     Delta,
     Digest,
+    GossipMessage,
+    UpstreamReport,
     decode,
     encode,
     packed_size,
@@ -23,6 +26,8 @@
 from egrethook.discovery.replica import Replica
 from egrethook.exceptions import BadMessageError
 from egrethook.logs import PartLog
+from egrethook.token_bucket import TokenBucket
+from egrethook.upstreams.health import Verdict
 
 BEAT_S = 0.3
 """Time between two digests to the same partner, in seconds."""
@@ -36,9 +41,20 @@
 PULL_INTERVAL_S = 0.1
 """Time between two digests that ask for changes, in seconds."""
 
+REPORTS_PER_S = 40.0
+"""Reports on upstreams that are passed on in a second."""
+
 _LOG = PartLog("gossip")
 
 
+class ReportListener(Protocol):
+    """Is told what another balancer has found out about an upstream."""
+
+    def __call__(self, token: int, verdict: Verdict) -> None:
+        """Take what was found out about the upstream with a token."""
+        ...
+
+
 class Gossip:
     """Sends digests, answers them with deltas, and passes changes on.
 
@@ -56,6 +72,8 @@
         Spreads the beats.
     awake : callable
         Called before messages are handled, to notice a pause of the process.
+    on_report : callable
+        Called with each report on an upstream.
     """
 
     def __init__(
@@ -66,6 +84,7 @@
         clock: Clock,
         rng: random.Random,
         awake: Callable[[], Awaitable[None]],
+        on_report: ReportListener,
     ) -> None:
         self._socket = socket
         self._members = members
@@ -73,6 +92,8 @@
         self._clock = clock
         self._rng = rng
         self._awake = awake
+        self._on_report = on_report
+        self._report_budget = TokenBucket(REPORTS_PER_S, REPORTS_PER_S)
         self._leaving = False
         self._asked_at = float("-inf")
         self._bytes_sent = 0
@@ -134,8 +155,19 @@
             return
         if isinstance(message, Digest):
             self._on_digest(message)
-        else:
+        elif isinstance(message, Delta):
             self._on_delta(message, source)
+        else:
+            self._on_report(message.token, message.verdict)
+
+    def report(self, token: int, verdict: Verdict) -> None:
+        """Tell the other balancers of this failure domain of an upstream."""
+        now = self._clock.now()
+        if not self._report_budget.take(now):
+            return
+        report = UpstreamReport(token, verdict)
+        for neighbour in self._members.neighbours(now):
+            self._send(neighbour, report)
 
     def _on_digest(self, digest: Digest) -> None:
         now = self._clock.now()
@@ -178,7 +210,7 @@
             self._members.sample(now),
         )
 
-    def _send(self, partner: Address, message: Digest | Delta) -> None:
+    def _send(self, partner: Address, message: GossipMessage) -> None:
         datagram = encode(message)
         if len(datagram) > DATAGRAM_LIMIT:
             # Whoever lacks this reads the registry itself.
--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -4,8 +4,10 @@
 
 import ipaddress
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import Any
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TException
@@ -14,6 +16,7 @@
 from egrethook.addresses import Address
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem
 from egrethook.exceptions import BadMessageError
+from egrethook.upstreams.health import Verdict
 from egrethook.wire.gossip import ttypes
 
 DATAGRAM_LIMIT = 60_000
@@ -77,15 +80,21 @@
     age_s: float
 
 
-GossipMessage = Digest | Delta
+@dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """What openings have shown of an upstream, named by the token of its flows."""
+
+    token: int
+    verdict: Verdict
+
+
+GossipMessage = Digest | Delta | UpstreamReport
 
 
 def encode(message: GossipMessage) -> bytes:
     """Return a message as a datagram."""
-    if isinstance(message, Digest):
-        body = ttypes.GossipMessage(digest=_pack_digest(message))
-    else:
-        body = ttypes.GossipMessage(delta=_pack_delta(message))
+    field, pack = _PACK[type(message)]
+    body = ttypes.GossipMessage(**{field: pack(message)})
     return serialize(body, _FACTORY)
 
 
@@ -103,6 +112,8 @@
             return _unpack_digest(body.digest)
         if body.delta is not None:
             return _unpack_delta(body.delta)
+        if body.report is not None:
+            return _unpack_report(body.report)
     except _ERRORS as error:
         raise BadMessageError(str(error)[:200] or type(error).__name__) from None
     raise BadMessageError("a message without a body")
@@ -197,6 +208,27 @@
     return Delta(changes, _seconds(packed.age_ms))
 
 
+def _pack_report(report: UpstreamReport) -> ttypes.UpstreamReport:
+    verdict = report.verdict
+    return ttypes.UpstreamReport(
+        token=report.token,
+        answers=verdict.answers,
+        silent_ms=_milliseconds(verdict.silent_s),
+    )
+
+
+def _unpack_report(packed: ttypes.UpstreamReport) -> UpstreamReport:
+    verdict = Verdict(bool(packed.answers), _seconds(packed.silent_ms))
+    return UpstreamReport(_token(packed.token), verdict)
+
+
+_PACK: dict[type, tuple[str, Callable[[Any], Any]]] = {
+    Digest: ("digest", _pack_digest),
+    Delta: ("delta", _pack_delta),
+    UpstreamReport: ("report", _pack_report),
+}
+"""The field of the union for each message, and how its body is made."""
+
 _UNKNOWN_MS = -1
 
 
@@ -214,6 +246,12 @@
     return number
 
 
+def _token(number: int) -> int:
+    if not 0 < number < 2**32:
+        raise ValueError("a token is out of bounds")
+    return number
+
+
 def _name(text: str) -> str:
     if len(text) > NAME_LIMIT:
         raise ValueError("a name is too long")
--- a/egrethook/balancers/gossip_members.py
+++ b/egrethook/balancers/gossip_members.py
@@ -22,6 +22,9 @@
 REMOTE_PARTNERS = 1
 """Random partners in other failure domains, in a larger fleet."""
 
+NEIGHBOURS = 64
+"""Most members of the own failure domain that are told of an upstream."""
+
 SAMPLE = 8
 """Members that one digest names."""
 
@@ -125,6 +128,12 @@
             return [one.address for one in live]
         return self._draw(live, DOMAIN_PARTNERS + 1, REMOTE_PARTNERS)
 
+    def neighbours(self, now: float) -> list[Address]:
+        """Return the members of the own failure domain, or some of very many."""
+        domain = self._own.failure_domain
+        near = [one.address for one in self.live(now) if one.failure_domain == domain]
+        return self._rng.sample(near, min(NEIGHBOURS, len(near)))
+
     def sample(self, now: float) -> tuple[MemberInfo, ...]:
         """Return members to name in a digest."""
         live = self.live(now)
--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -10,7 +10,7 @@
     Flow,
     FlowState,
 )
-from egrethook.callers.segments import PacketPort, Segment, SegmentCodec
+from egrethook.callers.segments import Endpoint, PacketPort, Segment, SegmentCodec
 from egrethook.callers.waiting import Waiting, WaitingQueue
 from egrethook.discovery.view import ForwardingView, pick_service
 from egrethook.logs import PartLog
@@ -25,9 +25,15 @@
 Well above a round trip between failure domains, below a caller's first copy.
 """
 
+ANSWER_S = 0.01
+"""Time of an answer before any is known, in seconds."""
+
 ANSWER_FACTOR = 3.0
 """The wait for an answer, in mean times of an answer."""
 
+RETURN_FACTOR = 0.6
+"""A caller that opens again before so many mean times of an answer does not return."""
+
 ANSWER_WEIGHT = 0.1
 """Weight of the newest answer in the mean time of an answer."""
 
@@ -102,8 +108,9 @@
         self._unanswered: OrderedDict[bytes, float] = OrderedDict()
         self._queues: dict[str, WaitingQueue] = {}
         self._counts = Counts()
+        self._last_openings: dict[tuple[int, Endpoint], Flow] = {}
         self._undecided: dict[bytes, tuple[Segment, bytes, float]] = {}
-        self._answer_s = 0.0
+        self._answer_s = ANSWER_S
         self._swept_at = 0.0
         self._trusted = False
 
@@ -178,11 +185,27 @@
         self._counts.openings += 1
         service = pick_service(route, segment.flow)
         flow = Flow(segment, datagram, route, service, now)
+        self._note_return(flow, now)
         if self._send_opening(flow, now):
             self._flows[segment.flow] = flow
             return
         self._enqueue(flow, now)
 
+    def _note_return(self, flow: Flow, now: float) -> None:
+        """Avoid the upstream where the caller's last opening got no answer.
+
+        An upstream whose process is gone resets its caller, who returns at once from
+        another port; this balancer sees the return only.
+        """
+        caller = flow.segment.caller[0], flow.segment.target
+        before = self._last_openings.get(caller)
+        self._last_openings[caller] = flow
+        if before is None or not before.is_first_try:
+            return
+        if now - before.sent_at >= RETURN_FACTOR * self._answer_s:
+            self._note_silence(before, now)
+            flow.avoided = [*before.avoided, *before.tried]
+
     def _hold_unknown_route(
         self, segment: Segment, datagram: bytes, now: float
     ) -> None:
@@ -218,12 +241,13 @@
     def _send_opening(self, flow: Flow, now: float) -> bool:
         """Send an opening to the best upstream that has not had it."""
         candidates = self._view.candidates(flow.service)
-        upstream = self._selector.choose(candidates, flow.tried, now)
+        upstream = self._selector.choose(candidates, flow.tried, flow.avoided, now)
         if upstream is None:
             return False
         flow.take_room(upstream)
         flow.tried.append(upstream)
         flow.state = FlowState.SENT
+        flow.is_silent = False
         flow.sent_at = flow.seen_at = now
         self._unanswered[flow.segment.flow] = now + self._resend_s()
         self._unanswered.move_to_end(flow.segment.flow)
@@ -253,10 +277,7 @@
         if flow is None or flow.state is not FlowState.SENT:
             return
         silent = flow.tried[-1]
-        # What an upstream has not answered takes no room there.
-        flow.leave()
-        if flow.sent_at + CALLER_GONE_S < flow.given_up_at:
-            self._health.note_silence(silent, now)
+        self._note_silence(flow, now)
         if len(flow.tried) >= RESENDS or now > flow.given_up_at:
             return
         if self._send_opening(flow, now):
@@ -269,6 +290,14 @@
                 upstream=flow.tried[-1].name,
             )
 
+    def _note_silence(self, flow: Flow, now: float) -> None:
+        """Note that the last upstream tried has not answered an opening in time."""
+        # What an upstream has not answered takes no room there.
+        flow.leave()
+        if not flow.is_silent and flow.sent_at + CALLER_GONE_S < flow.given_up_at:
+            self._health.note_silence(flow.tried[-1], flow.sent_at, now)
+        flow.is_silent = True
+
     # Waiting -------------------------------------------------------------------
 
     def _enqueue(self, flow: Flow, now: float) -> None:
@@ -394,6 +423,9 @@
 
     def _sweep(self, now: float) -> None:
         """Stop counting what ended without a packet that says so."""
+        for caller, last in list(self._last_openings.items()):
+            if last.segment.flow not in self._flows:
+                del self._last_openings[caller]
         for flow in list(self._flows.values()):
             silent_s = now - flow.seen_at
             if silent_s > _KNOWN_S[flow.state]:
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -29,6 +29,10 @@
 class Flow(Struct):
     """One flow, and the room that it takes at its upstream.
 
+    `tried` are the upstreams that its opening was sent to, `avoided` those that
+    left an earlier opening of its caller unanswered. `is_silent` says that the last
+    of `tried` has not answered in time.
+
     A flow is busy while it opens, and from each request until the caller has
     acknowledged a part of the answer. In between it rests: a caller may keep it
     open, and it needs none of the upstream's slots.
@@ -43,6 +47,8 @@
     sent_at: float = 0.0
     seen_at: float = 0.0
     tried: list[Upstream] = []
+    avoided: list[Upstream] = []
+    is_silent: bool = False
     _upstream: Upstream | None = None
     _busy: bool = False
     _asked_up_to: int = 0
@@ -59,6 +65,11 @@
         """When the caller no longer waits for its opening, in seconds."""
         return self.first_sent_at + min(OPENING_LIFE_S, self.route.timeout_s)
 
+    @property
+    def is_first_try(self) -> bool:
+        """Whether one upstream has the opening, and has not answered yet."""
+        return self.state is FlowState.SENT and len(self.tried) == 1
+
     @property
     def is_busy(self) -> bool:
         """Whether the flow takes room of its upstream."""
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -25,6 +25,7 @@
 )
 from egrethook.discovery.view import ForwardingView
 from egrethook.emulator.flow_records import (
+    CALLER_HOST,
     SLOTS,
     AlwaysAdmits,
     PlainDecoder,
@@ -35,13 +36,16 @@
 from egrethook.emulator.packets import Packet
 from egrethook.platform.packet_header import ACK, FIN, INTENDED, RST, SYN, PacketHeader
 from egrethook.upstreams.flow_limit import FlowLimit, PromptnessLimit
-from egrethook.upstreams.health import PassiveHealth
+from egrethook.upstreams.health import PassiveHealth, Verdict
 from egrethook.upstreams.selection import LeastFlowsSelector
+from egrethook.upstreams.upstream import Upstream
 
 TICK_S = 0.01
+DOMAIN_S = 0.0001
 RETRIES = 2
 QUEUE_LIMIT = 8
 FLOW_LIMIT = 3
+CALLERS = 80
 REQUEST_BYTES = 168
 ANSWER_BYTES = 1_000
 
@@ -62,12 +66,15 @@
     ----------
     dark : bool
         Takes no packets and sends none.
+    closed : bool
+        Nothing listens: each opening is answered with a reset.
     slow_factor : float
         How much longer than usual its work takes.
     """
 
     record: UpstreamRecord
     dark: bool = False
+    closed: bool = False
     slow_factor: float = 1.0
     busy: int = 0
     queue: list[Work] = field(default_factory=list)
@@ -84,16 +91,20 @@
     ----------
     sent, received : int
         Bytes that the flow has carried either way.
+    domain : str, optional
+        Each attempt goes to any balancer of this failure domain.
     pause_s : callable, optional
         Keeps the flow open, and returns the time until its next request.
     """
 
     number: int
     vm: int
+    host: int
     began_at: float
     deadline_s: float
     work_s: float
     pause_s: Callable[[], float] | None = None
+    domain: str | None = None
     sent: int = 0
     received: int = 0
     attempt: int = 0
@@ -138,6 +149,7 @@
     domain: str
     view: ForwardingView
     dispatcher: FlowDispatcher
+    health: PassiveHealth
     up: bool = True
 
 
@@ -158,6 +170,8 @@
         One-way delays to callers and between failure domains, in seconds.
     new_limit : callable
         Makes what bounds the busy flows of each upstream through one balancer.
+    shares_health : bool
+        Balancers of one failure domain tell each other of silent upstreams.
     """
 
     def __init__(
@@ -167,11 +181,13 @@
         caller_s: float = 0.003,
         between_s: float = 0.003,
         new_limit: Callable[[], FlowLimit] = _new_limit,
+        shares_health: bool = True,
     ) -> None:
         self.rng = random.Random(seed)
         self.caller_s = caller_s
         self._between_s = between_s
         self._new_limit = new_limit
+        self._shares_health = shares_health
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -180,6 +196,7 @@
         self.upstreams: dict[str, EmulatedUpstream] = {}
         self.calls: list[Call] = []
         self._by_port: dict[int, Call] = {}
+        self._names = itertools.count()
         self.vms = [self._new_vm(domain) for domain in domains]
         for vm in self.vms:
             self._tick(vm)
@@ -189,16 +206,33 @@
     def _new_vm(self, domain: str) -> EmulatedVm:
         view = ForwardingView(self.decoder, flow_life_s=60.0)
         limit = self._new_limit()
+        health = PassiveHealth(f"vm-{next(self._names)}")
         dispatcher = FlowDispatcher(
             view,
             PacketHeader(),
             _Port(self, domain),
             LeastFlowsSelector(domain, limit, AlwaysAdmits()),
             limit,
-            PassiveHealth(),
+            health,
         )
         dispatcher.trusts_view = True
-        return EmulatedVm(domain, view, dispatcher)
+        vm = EmulatedVm(domain, view, dispatcher, health)
+        if self._shares_health:
+            health.set_listener(partial(self._share, vm))
+        return vm
+
+    def _share(self, sender: EmulatedVm, upstream: Upstream, verdict: Verdict) -> None:
+        """Bring a report on an upstream to the balancers of the same domain."""
+        name = upstream.name
+
+        def arrive() -> None:
+            for vm in self.vms:
+                if vm is not sender and vm.domain == sender.domain:
+                    known = vm.view.roster.get(name)
+                    if known is not None:
+                        vm.health.note_report(known, verdict, self.now)
+
+        self.after(DOMAIN_S, arrive)
 
     def add_upstream(
         self, name: str, domain: str, slots: int = SLOTS
@@ -243,6 +277,13 @@
 
     # Callers ---------------------------------------------------------------------
 
+    def call_domain(self, domain: str) -> Call:
+        """Let a caller send a request through any balancer of a failure domain."""
+        call = self._new_call(0, 2.0, None, None)
+        call.domain = domain
+        self._attempt(call)
+        return call
+
     def call(
         self,
         vm: int,
@@ -264,7 +305,9 @@
     ) -> Call:
         if work_s is None:
             work_s = self.rng.uniform(0.012, 0.035)
-        call = Call(len(self.calls), vm, self.now, deadline_s, work_s, pause_s)
+        number = len(self.calls)
+        host = CALLER_HOST + number % CALLERS
+        call = Call(number, vm, host, self.now, deadline_s, work_s, pause_s)
         self.calls.append(call)
         self.after(deadline_s, lambda: self._give_up(call))
         return call
@@ -284,6 +327,9 @@
 
     def _attempt(self, call: Call) -> None:
         call.port = next(self._ports)
+        if call.domain is not None:
+            vms = [n for n, vm in enumerate(self.vms) if vm.domain == call.domain]
+            call.vm = self.rng.choice(vms)
         call.opened_with = call.sent = call.received = 0
         self._by_port[call.port] = call
         port = call.port
@@ -294,7 +340,8 @@
 
     def _send_opening(self, call: Call, port: int, copy: int) -> None:
         if call.port == port and not call.opened_with and not call.finished:
-            self._to_vm(call, caller_packet(port, SYN, acknowledged=copy))
+            opening = caller_packet(port, SYN, src=call.host, acknowledged=copy)
+            self._to_vm(call, opening)
 
     def _end_attempt(self, call: Call, port: int) -> None:
         if call.port != port or call.opened_with or call.finished:
@@ -320,6 +367,7 @@
         packet = caller_packet(
             call.port,
             flags,
+            src=call.host,
             sequence=call.sent,
             acknowledged=call.received,
             echo=call.opened_with,
@@ -345,7 +393,7 @@
     def packet_to_upstream(self, domain: str, name: str, packet: bytes) -> None:
         """Carry a packet from a balancer to an upstream."""
         upstream = self.upstreams[name]
-        delay_s = 0.0001
+        delay_s = DOMAIN_S
         if upstream.record.failure_domain != domain:
             delay_s += self._between_s
         self.after(delay_s, lambda: self._at_upstream(upstream, packet))
@@ -357,7 +405,9 @@
         if intended not in (0, upstream.record.instance):
             return
         taken = Packet.decode(packet, INTENDED.size)
-        if taken.flags & SYN:
+        if upstream.closed:
+            self.after(self.caller_s, lambda: self.reset_for(taken.sport))
+        elif taken.flags & SYN:
             upstream.openings += 1
             name = upstream.record.name
             self.after(
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -19,7 +19,7 @@
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
 from egrethook.upstreams.flow_limit import PromptnessLimit
-from egrethook.upstreams.health import PassiveHealth
+from egrethook.upstreams.health import HealthListener, PassiveHealth, Verdict
 from egrethook.upstreams.selection import LeastFlowsSelector
 
 _LOG = PartLog("forwarder")
@@ -88,6 +88,7 @@
         self._replica = Replica(self._on_changes)
         self._is_sender: Callable[[str], bool] = _nobody
         self._flow_limit = PromptnessLimit(settings.flow_limit)
+        self._health = PassiveHealth(settings.name)
         selector = LeastFlowsSelector(
             settings.failure_domain,
             self._flow_limit,
@@ -99,7 +100,7 @@
             CallerPort(self._socket),
             selector,
             self._flow_limit,
-            PassiveHealth(),
+            self._health,
         )
         self._has_forwarded = False
         self._leave_requested = False
@@ -176,6 +177,16 @@
         """Set which cold upstreams this balancer may send to."""
         self._is_sender = is_sender
 
+    def on_health(self, listener: HealthListener) -> None:
+        """Have a callable told what is found out about upstreams."""
+        self._health.set_listener(listener)
+
+    def take_report(self, token: int, verdict: Verdict) -> None:
+        """Take what another balancer has found out about an upstream."""
+        upstream = self._view.roster.by_token.get(token)
+        if upstream is not None:
+            self._health.note_report(upstream, verdict, self._clock.now())
+
     def _cold_limits(self) -> Mapping[str, ColdLimit]:
         table = self._view.table
         return table.cold_limits if table else {}
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -84,8 +84,12 @@
             self._clock,
             rng,
             self._awake,
+            forwarder.take_report,
         )
         forwarder.on_changes(self._gossip.pass_on)
+        forwarder.on_health(
+            lambda upstream, verdict: self._gossip.report(upstream.token, verdict)
+        )
         forwarder.set_senders(self._is_sender)
         self._follower = RegistryFollower(
             source, forwarder.replica, self._must_read, self._clock, rng
--- a/egrethook/line_log.py
+++ b/egrethook/line_log.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from egrethook.token_bucket import TokenBucket
+
 BUFFER_BYTES = 256 * 1024
 """Lines that are kept while the pipe is full, in bytes."""
 
@@ -31,34 +33,6 @@
 """Time between two lines on what was left out, in seconds."""
 
 
-class LineBudget:
-    """A token bucket for log lines.
-
-    Parameters
-    ----------
-    rate_per_s, burst : float
-        Lines a second in the long run, and at once.
-    now : float
-        The time of the start, in seconds.
-    """
-
-    def __init__(self, rate_per_s: float, burst: float, now: float) -> None:
-        self._rate_per_s = rate_per_s
-        self._burst = burst
-        self._tokens = burst
-        self._at = now
-
-    def take(self, now: float) -> bool:
-        """Return whether one more line may be written."""
-        elapsed = max(0.0, now - self._at)
-        self._tokens = min(self._burst, self._tokens + elapsed * self._rate_per_s)
-        self._at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 class LineLog:
     """Writes events as lines of JSON to a descriptor that never blocks.
 
@@ -83,8 +57,8 @@
         self._buffer = bytearray()
         self._number = 0
         now = clock()
-        self._decisions = LineBudget(DECISIONS_PER_S, DECISION_BURST, now)
-        self._events = LineBudget(EVENTS_PER_S, EVENT_BURST, now)
+        self._decisions = TokenBucket(DECISIONS_PER_S, DECISION_BURST, now)
+        self._events = TokenBucket(EVENTS_PER_S, EVENT_BURST, now)
         self._left_out = 0
         self._left_out_unreported = 0
         self._reported_at = now
--- a/egrethook/upstreams/cold_limit.py
+++ b/egrethook/upstreams/cold_limit.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 from egrethook.discovery.records import ColdLimit
+from egrethook.token_bucket import TokenBucket
 from egrethook.upstreams.upstream import Upstream
 
 SENDERS = 2
@@ -41,10 +42,9 @@
 
 
 class _Allowance(Struct):
-    """A token bucket for one upstream, and whether it may be used at all."""
+    """The openings that one upstream may get, and whether it may get any."""
 
-    tokens: float
-    at: float
+    bucket: TokenBucket
     may_send: bool = False
     checked_at: float = float("-inf")
 
@@ -77,25 +77,25 @@
         limit = self._limits().get(upstream.service)
         if limit is None or limit.rate_per_s <= 0.0:
             return True
-        allowance = self._refilled(upstream, limit.rate_per_s, now)
+        allowance = self._allowance(upstream, limit.rate_per_s, now)
         if now - allowance.checked_at >= RECHECK_S:
             allowance.may_send = self._may_send(upstream)
             allowance.checked_at = now
-        return allowance.may_send and allowance.tokens >= 1.0
+        return allowance.may_send and allowance.bucket.has_token(now)
 
     def note_sent(self, upstream: Upstream, now: float) -> None:
         """Count an opening that was sent."""
         allowance = self._allowances.get(upstream.token)
         if allowance is not None:
-            allowance.tokens -= 1.0
+            allowance.bucket.spend()
 
-    def _refilled(
+    def _allowance(
         self, upstream: Upstream, rate_per_s: float, now: float
     ) -> _Allowance:
+        share_per_s = rate_per_s * SENDER_SHARE
         allowance = self._allowances.get(upstream.token)
         if allowance is None:
-            allowance = self._allowances[upstream.token] = _Allowance(BURST, now)
-        gained = (now - allowance.at) * rate_per_s * SENDER_SHARE
-        allowance.tokens = min(BURST, allowance.tokens + gained)
-        allowance.at = now
+            bucket = TokenBucket(share_per_s, BURST, now)
+            allowance = self._allowances[upstream.token] = _Allowance(bucket)
+        allowance.bucket.rate_per_s = share_per_s
         return allowance
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -15,6 +15,9 @@
 SILENT_DOMAIN_COST = 3.0
 """What a failure domain that left this opening unanswered counts for, in busy flows."""
 
+SILENT_COST = 6.0
+"""What an upstream that left the caller unanswered counts for, in busy flows."""
+
 SLOW_FACTOR = 2.0
 """An upstream whose mean service time exceeds the service's by this is slow."""
 
@@ -23,9 +26,21 @@
     """Chooses among the upstreams that may take a new flow."""
 
     def choose(
-        self, candidates: Iterable[Upstream], tried: Collection[Upstream], now: float
+        self,
+        candidates: Iterable[Upstream],
+        tried: Collection[Upstream],
+        avoided: Collection[Upstream],
+        now: float,
     ) -> Upstream | None:
-        """Return the best candidate with room, or None if none has room."""
+        """Return the best candidate with room, or None if none has room.
+
+        Parameters
+        ----------
+        tried : collection of Upstream
+            Have had this opening; they don't get it again.
+        avoided : collection of Upstream
+            Left an earlier opening of the caller unanswered.
+        """
         ...
 
 
@@ -49,7 +64,11 @@
         self._turn = 0
 
     def choose(
-        self, candidates: Iterable[Upstream], tried: Collection[Upstream], now: float
+        self,
+        candidates: Iterable[Upstream],
+        tried: Collection[Upstream],
+        avoided: Collection[Upstream],
+        now: float,
     ) -> Upstream | None:
         """Return the best candidate with room, or None if none has room."""
         usable = [candidate for candidate in candidates if candidate not in tried]
@@ -65,15 +84,17 @@
         # Equal candidates take turns.
         self._turn += 1
         start = self._turn % len(roomy)
-        chosen = min(roomy[start:] + roomy[:start], key=self._cost(pool, tried))
+        chosen = min(
+            roomy[start:] + roomy[:start], key=self._cost(pool, [*tried, *avoided])
+        )
         self._cold.note_sent(chosen, now)
         return chosen
 
     def _cost(
-        self, pool: list[Upstream], tried: Collection[Upstream]
+        self, pool: list[Upstream], silent: Collection[Upstream]
     ) -> Callable[[Upstream], float]:
         """Return the function by which candidates are compared."""
-        silent_domains = {one.domain for one in tried}
+        silent_domains = {one.domain for one in silent}
         times = sorted(one.service_time_s for one in pool if one.service_time_s)
         typical_s = times[len(times) // 2] if times else 0.0
         domain = self._domain
@@ -90,6 +111,8 @@
                 value += REMOTE_COST
             if one.domain in silent_domains:
                 value += SILENT_DOMAIN_COST
+            if one in silent:
+                value += SILENT_COST
             return value
 
         return cost
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -47,6 +47,7 @@
         "name",
         "service",
         "service_time_s",
+        "silent_at",
         "token",
         "unanswered",
     )
@@ -65,6 +66,7 @@
         self.flow_limit: float | None = None
         self.unanswered = 0
         self.answered_at = float("-inf")
+        self.silent_at = float("-inf")
         self.distrusted_until = float("-inf")
         self.service_time_s = 0.0
         self.gone_at: float | None = None
--- a/egrethook/wire/gossip/ttypes.py
+++ b/egrethook/wire/gossip/ttypes.py
@@ -428,18 +428,99 @@
         return not (self == other)
 
 
+class UpstreamReport(object):
+    """
+    Attributes:
+     - token
+     - answers
+     - silent_ms
+
+    """
+
+
+    def __init__(self, token=None, answers=None, silent_ms=None,):
+        self.token = token
+        self.answers = answers
+        self.silent_ms = silent_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.answers = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.silent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamReport')
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 1)
+            oprot.writeI64(self.token)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.BOOL, 2)
+            oprot.writeBool(self.answers)
+            oprot.writeFieldEnd()
+        if self.silent_ms is not None:
+            oprot.writeFieldBegin('silent_ms', TType.I32, 3)
+            oprot.writeI32(self.silent_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class GossipMessage(object):
     """
     Attributes:
      - digest
      - delta
+     - report
 
     """
 
 
-    def __init__(self, digest=None, delta=None,):
+    def __init__(self, digest=None, delta=None, report=None,):
         self.digest = digest
         self.delta = delta
+        self.report = report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -462,6 +543,12 @@
                     self.delta.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.report = UpstreamReport()
+                    self.report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -480,6 +567,10 @@
             oprot.writeFieldBegin('delta', TType.STRUCT, 2)
             self.delta.write(oprot)
             oprot.writeFieldEnd()
+        if self.report is not None:
+            oprot.writeFieldBegin('report', TType.STRUCT, 3)
+            self.report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -531,11 +622,19 @@
     (3, TType.I32, 'age_ms', None, None, ),  # 3
     (4, TType.LIST, 'items', (TType.STRUCT, [Item, None], False), None, ),  # 4
 )
+all_structs.append(UpstreamReport)
+UpstreamReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'token', None, None, ),  # 1
+    (2, TType.BOOL, 'answers', None, None, ),  # 2
+    (3, TType.I32, 'silent_ms', None, None, ),  # 3
+)
 all_structs.append(GossipMessage)
 GossipMessage.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'digest', [Digest, None], None, ),  # 1
     (2, TType.STRUCT, 'delta', [Delta, None], None, ),  # 2
+    (3, TType.STRUCT, 'report', [UpstreamReport, None], None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -31,7 +31,14 @@
   4: list<Item> items,
 }
 
+struct UpstreamReport {
+  1: i64 token,
+  2: bool answers,
+  3: i32 silent_ms,
+}
+
 union GossipMessage {
   1: Digest digest,
   2: Delta delta,
+  3: UpstreamReport report,
 }
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -84,5 +84,5 @@
     strict = FleetColdLimit(lambda: {SERVICE: ColdLimit(2.0, 5.0)}, lambda one: False)
     selector = LeastFlowsSelector("zone", FixedLimit(3), strict)
     warm = Upstream(upstream_record("up-2", "elsewhere"), 0.0)
-    assert selector.choose([cold_upstream(), warm], (), 1.0) is warm
-    assert selector.choose([cold_upstream()], (), 1.0) is None
+    assert selector.choose([cold_upstream(), warm], (), (), 1.0) is warm
+    assert selector.choose([cold_upstream()], (), (), 1.0) is None
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -60,7 +60,7 @@
             self.port,
             LeastFlowsSelector("zone-a", limit, AlwaysAdmits()),
             limit,
-            PassiveHealth(),
+            PassiveHealth("vm"),
         )
         self.revision = 0
         self.put(ItemKind.ROUTES, "", route_table())
@@ -175,6 +175,29 @@
     assert not bench.upstream("a").is_distrusted(0.22)
 
 
+def test_caller_that_returns_at_once_avoids_where_it_got_no_answer():
+    """The process at `a` has ended: its address resets callers."""
+    bench = Bench(names=())
+    for name in ("a1", "a2"):
+        bench.put(ItemKind.UPSTREAM, name, upstream_record(name, "zone-a"))
+    bench.put(ItemKind.UPSTREAM, "c", upstream_record("c", "zone-c"))
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    (first,) = bench.sent()
+    bench.dispatcher.handle(packet(2001, SYN), 0.012)
+    assert bench.sent() == ["c"]
+    assert bench.upstream(first).unanswered == 1
+    # The silence of the first opening is counted once.
+    bench.dispatcher.tick(0.05)
+    assert bench.upstream(first).unanswered == 1
+
+
+def test_second_user_of_a_caller_is_no_return():
+    bench = Bench()
+    bench.dispatcher.handle(packet(2000, SYN), 0.0)
+    bench.dispatcher.handle(packet(2001, SYN), 0.002)
+    assert bench.upstream("a").unanswered == 0
+
+
 def test_end_of_a_flow_gives_its_room_to_one_that_waits():
     bench = Bench(names=("a",), flow_limit=1)
     bench.open(2000, 0.0)
--- a/tests/test_flow_load.py
+++ b/tests/test_flow_load.py
@@ -141,6 +141,35 @@
     assert prompt.worth() > fixed.worth()
 
 
+def lose_most_upstreams_of_a_domain(seed, **options):
+    """20 of 30 upstreams end; their addresses reset callers, who return at once."""
+    world = FlowWorld(seed, ("zone-a",) * 16, **options)
+    for number in range(50):
+        world.add_upstream(f"up-{number}", "zone-a" if number < 30 else "zone-b")
+    for vm in world.vms:
+        world.publish(vm)
+
+    def end_upstreams():
+        for number in range(20):
+            world.upstreams[f"up-{number}"].closed = True
+
+    time = 0.0
+    while time < 4.0:
+        time += world.rng.expovariate(250.0)
+        world.after(time, partial(world.call_domain, "zone-a"))
+    world.after(1.0, end_upstreams)
+    world.run(7.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_balancers_tell_each_other_of_upstreams_that_have_ended(seed):
+    alone = lose_most_upstreams_of_a_domain(seed, shares_health=False)
+    shared = lose_most_upstreams_of_a_domain(seed)
+    assert shared.answered() > 0.97
+    assert 1.0 - shared.answered() < 0.5 * (1.0 - alone.answered())
+
+
 def test_one_balancer_fills_upstreams_of_many_slots():
     world = FlowWorld(1, ("zone-a",))
     for number in range(2):
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -12,11 +12,12 @@
 from hypothesis import strategies as st
 
 from egrethook.addresses import Address
-from egrethook.balancers.gossip import Gossip
+from egrethook.balancers.gossip import REPORTS_PER_S, Gossip
 from egrethook.balancers.gossip_codec import (
     Delta,
     Digest,
     MemberInfo,
+    UpstreamReport,
     decode,
     encode,
 )
@@ -25,6 +26,9 @@
 from egrethook.discovery.replica import Replica
 from egrethook.emulator.builders import ManualClock
 from egrethook.exceptions import BadMessageError
+from egrethook.upstreams.health import Verdict
+
+SILENT = Verdict(False, 0.045)
 
 
 def member(number, domain="zone-a", beat=1, incarnation=1, leaving=False):
@@ -106,11 +110,12 @@
     def __init__(self, size):
         self.wire, self.clock = Wire(), ManualClock()
         self.replicas = []
+        self.reports = {}
         for number in range(1, size + 1):
             self.add(number)
 
-    def add(self, number):
-        own = member(number)
+    def add(self, number, domain="zone-a"):
+        own = member(number, domain)
         seeds = [Address("10.0.0.1", 7000), Address("10.0.0.2", 7000)]
         members = GossipMembers(own, seeds, random.Random(number))
         holder = []
@@ -122,6 +127,9 @@
             self.clock,
             random.Random(number),
             None,
+            lambda token, verdict: self.reports.setdefault(number, []).append(
+                (token, verdict)
+            ),
         )
         holder.append(gossip)
         self.wire.gossips[own.address] = gossip
@@ -139,6 +147,32 @@
             self.wire.deliver()
 
 
+def test_report_on_an_upstream_reaches_the_own_failure_domain_at_once():
+    fleet = Fleet(12)
+    fleet.add(13, "zone-b")
+    fleet.beat(12)
+    reporter = fleet.wire.gossips[Address("10.0.0.1", 7000)]
+    reporter.report(4711, SILENT)
+    fleet.wire.deliver()
+    assert set(fleet.reports) == set(range(2, 13))
+    assert fleet.reports[2] == [(4711, SILENT)]
+
+
+def test_reports_are_bounded():
+    fleet = Fleet(2)
+    fleet.beat(4)
+    reporter = fleet.wire.gossips[Address("10.0.0.1", 7000)]
+    for token in range(1, 1000):
+        reporter.report(token, SILENT)
+    fleet.wire.deliver()
+    assert len(fleet.reports[2]) == REPORTS_PER_S
+
+
+def test_report_of_a_bad_token_is_refused():
+    with pytest.raises(BadMessageError):
+        decode(encode(UpstreamReport(2**32, SILENT)))
+
+
 def test_change_reaches_every_member_from_one_reader():
     fleet = Fleet(30)
     fleet.beat(12)
