Count no silence where the upstream has answered others since

Change: a silence counts only if the upstream has answered nobody since the opening was sent. A caller's return only steers its own opening; time alone tells of a silence.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -203,7 +203,6 @@
         if before is None or not before.is_first_try:
             return
         if now - before.sent_at >= RETURN_FACTOR * self._answer_s:
-            self._note_silence(before, now)
             flow.avoided = [*before.avoided, *before.tried]
 
     def _hold_unknown_route(
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -74,7 +74,12 @@
         self._listener = listener
 
     def note_silence(self, upstream: Upstream, sent_at: float, now: float) -> None:
-        """Count an opening that got no answer in time."""
+        """Count an opening that got no answer in time.
+
+        Where the upstream has answered others since, it is the caller that has gone.
+        """
+        if upstream.answered_at > sent_at:
+            return
         self._count_silence(upstream, now)
         # Who hears from none of them may be cut off itself.
         if now - self._heard_at.get(upstream.domain, float("-inf")) < HEARD_S:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -50,6 +50,16 @@
     assert not one.is_distrusted(1.0)
 
 
+def test_upstream_that_answers_others_is_not_silent(health, upstreams, told):
+    """After an outage many openings are of callers that have gone meanwhile."""
+    one = upstreams[0]
+    health.note_answer(one, 1.0)
+    for _ in range(3):
+        health.note_silence(one, 0.99, 1.04)
+    assert not one.is_distrusted(1.04)
+    assert told == []
+
+
 def test_answer_elsewhere_ends_distrust(health, upstreams):
     one = upstreams[0]
     for _ in range(3):
