--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 
+from egrethook.callers.answer_times import AnswerTimes
 from egrethook.callers.forwarded_flow import (
     OPENING_LIFE_S,
     Counts,
@@ -11,6 +12,7 @@
     FlowState,
 )
 from egrethook.callers.segments import Endpoint, PacketPort, Segment, SegmentCodec
+from egrethook.callers.undecided import Undecided, UndecidedOpenings
 from egrethook.callers.waiting import Waiting, WaitingQueue
 from egrethook.discovery.view import ForwardingView, pick_service
 from egrethook.logs import PartLog
@@ -19,24 +21,6 @@
 from egrethook.upstreams.selection import UpstreamSelector
 from egrethook.upstreams.upstream import Upstream, upstream_load
 
-RESEND_S = (0.045, 0.15)
-"""Time without an answer after which an opening goes to a second upstream, in seconds.
-
-Well above a round trip between failure domains, below a caller's first copy.
-"""
-
-ANSWER_S = 0.01
-"""Time of an answer before any is known, in seconds."""
-
-ANSWER_FACTOR = 3.0
-"""The wait for an answer, in mean times of an answer."""
-
-RETURN_FACTOR = 0.6
-"""A caller that opens again before so many mean times of an answer does not return."""
-
-ANSWER_WEIGHT = 0.1
-"""Weight of the newest answer in the mean time of an answer."""
-
 RESENDS = 3
 """Most upstreams that one opening is sent to."""
 
@@ -52,9 +36,6 @@
 KEPT_S = 30.0
 """Time without packets after which an open flow is no longer known, in seconds."""
 
-UNDECIDED_LIMIT = 2_000
-"""Most openings that wait for a fresh view."""
-
 _KNOWN_S = {
     FlowState.WAITING: OPENING_LIFE_S,
     FlowState.SENT: OPENING_LIFE_S,
@@ -69,7 +50,7 @@
     """Places openings and sends the packets of open flows on.
 
     An opening goes to the upstream that the selector prefers. Without an answer
-    within `RESEND_S` it goes to another one as well: the flow opens at the one
+    in time it goes to another one as well: the flow opens at the one
     upstream that the caller acknowledges. When no upstream has room it waits,
     and is refused at once when too many wait already.
 
@@ -109,8 +90,8 @@
         self._queues: dict[str, WaitingQueue] = {}
         self._counts = Counts()
         self._last_openings: dict[tuple[int, Endpoint], Flow] = {}
-        self._undecided: dict[bytes, tuple[Segment, bytes, float]] = {}
-        self._answer_s = ANSWER_S
+        self._undecided = UndecidedOpenings()
+        self._answer_times = AnswerTimes()
         self._swept_at = 0.0
         self._trusted = False
 
@@ -202,7 +183,7 @@
         self._last_openings[caller] = flow
         if before is None or not before.is_first_try:
             return
-        if now - before.sent_at >= RETURN_FACTOR * self._answer_s:
+        if now - before.sent_at >= self._answer_times.return_s:
             flow.avoided = [*before.avoided, *before.tried]
 
     def _hold_unknown_route(
@@ -211,15 +192,12 @@
         """Refuse an opening without a route, or keep it until the view is fresh."""
         if self._trusted:
             self._reset(segment, "no route", version=self._version())
-        elif len(self._undecided) < UNDECIDED_LIMIT:
-            self._undecided[segment.flow] = segment, datagram, now
-        else:
+        elif not self._undecided.put(Undecided(segment, datagram, now)):
             self._drop("no route, view not fresh")
 
     def view_changed(self, now: float) -> None:
         """Decide the openings that waited for a fresh view."""
-        undecided, self._undecided = self._undecided, {}
-        for segment, datagram, since in undecided.values():
+        for segment, datagram, since in self._undecided.take_all():
             if now - since > OPENING_LIFE_S:
                 self._drop("waited too long")
             else:
@@ -246,9 +224,8 @@
         flow.take_room(upstream)
         flow.tried.append(upstream)
         flow.state = FlowState.SENT
-        flow.is_silent = False
         flow.sent_at = flow.seen_at = now
-        self._unanswered[flow.segment.flow] = now + self._resend_s()
+        self._unanswered[flow.segment.flow] = now + self._answer_times.resend_s
         self._unanswered.move_to_end(flow.segment.flow)
         self._forward(upstream, flow.datagram)
         _LOG.decision(
@@ -265,18 +242,16 @@
         )
         return True
 
-    def _resend_s(self) -> float:
-        """Return how long to wait for an answer: longer while this VM is busy."""
-        shortest_s, longest_s = RESEND_S
-        return min(longest_s, max(shortest_s, ANSWER_FACTOR * self._answer_s))
-
     def _resend(self, flow_key: bytes, now: float) -> None:
         """Send an opening without an answer to another upstream as well."""
         flow = self._flows.get(flow_key)
         if flow is None or flow.state is not FlowState.SENT:
             return
         silent = flow.tried[-1]
-        self._note_silence(flow, now)
+        # What an upstream has not answered takes no room there.
+        flow.leave()
+        if flow.sent_at + CALLER_GONE_S < flow.given_up_at:
+            self._health.note_silence(silent, flow.sent_at, now)
         if len(flow.tried) >= RESENDS or now > flow.given_up_at:
             return
         if self._send_opening(flow, now):
@@ -289,14 +264,6 @@
                 upstream=flow.tried[-1].name,
             )
 
-    def _note_silence(self, flow: Flow, now: float) -> None:
-        """Note that the last upstream tried has not answered an opening in time."""
-        # What an upstream has not answered takes no room there.
-        flow.leave()
-        if not flow.is_silent and flow.sent_at + CALLER_GONE_S < flow.given_up_at:
-            self._health.note_silence(flow.tried[-1], flow.sent_at, now)
-        flow.is_silent = True
-
     # Waiting -------------------------------------------------------------------
 
     def _enqueue(self, flow: Flow, now: float) -> None:
@@ -392,7 +359,7 @@
         self._counts.answered += 1
         self._health.note_answer(upstream, now)
         answer_s = now - flow.sent_at
-        self._answer_s += ANSWER_WEIGHT * (answer_s - self._answer_s)
+        self._answer_times.note(answer_s)
         self._counts.answer_times.observe(answer_s)
         flow.open_at(upstream, segment, now)
 
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -30,8 +30,7 @@
     """One flow, and the room that it takes at its upstream.
 
     `tried` are the upstreams that its opening was sent to, `avoided` those that
-    left an earlier opening of its caller unanswered. `is_silent` says that the last
-    of `tried` has not answered in time.
+    left an earlier opening of its caller unanswered.
 
     A flow is busy while it opens, and from each request until the caller has
     acknowledged a part of the answer. In between it rests: a caller may keep it
@@ -48,7 +47,6 @@
     seen_at: float = 0.0
     tried: list[Upstream] = []
     avoided: list[Upstream] = []
-    is_silent: bool = False
     _upstream: Upstream | None = None
     _busy: bool = False
     _asked_up_to: int = 0
--- a/egrethook/discovery/follower.py
+++ b/egrethook/discovery/follower.py
@@ -62,16 +62,6 @@
         self._whole = False
         self._failures = 0
 
-    @property
-    def reachable(self) -> bool:
-        """Whether the registry answered the last call."""
-        return bool(self._reachable)
-
-    @property
-    def failures(self) -> int:
-        """Failed calls in a row."""
-        return self._failures
-
     async def run(self) -> None:
         """Follow until cancelled."""
         try:
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from egrethook.callers.flow_dispatch import RESEND_S, FlowDispatcher
+from egrethook.callers.answer_times import RESEND_S
+from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.discovery.records import ItemKind, PublishedItem, UpstreamPhase
 from egrethook.discovery.view import ForwardingView
 from egrethook.emulator.flow_records import (
--- a/tests/test_flow_load.py
+++ b/tests/test_flow_load.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from egrethook.callers import flow_dispatch
+from egrethook.callers import answer_times
 from egrethook.callers.waiting import Waiting, WaitingQueue
 from egrethook.emulator.flow_records import FixedLimit, upstream_record
 from egrethook.emulator.flow_world import FlowWorld
@@ -52,7 +52,7 @@
 
 
 def test_without_a_second_opening_a_dark_upstream_makes_callers_late(monkeypatch):
-    monkeypatch.setattr(flow_dispatch, "RESEND_S", (5.0, 5.0))
+    monkeypatch.setattr(answer_times, "RESEND_S", (5.0, 5.0))
     world = make_world()
     world.upstreams["up-0"].dark = True
     offer(world, 150.0, 0.0, 5.0)
