Gather changes before the next call; answer newcomers' first digest

Change: 0.25 s pass between changes and the next call. Whoever hears the first digest of a member's incarnation answers with its own, which names eight members.

A change is known up to 0.25 s later, of a bound of 3 s.

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -171,9 +171,13 @@
 
     def _on_digest(self, digest: Digest) -> None:
         now = self._clock.now()
+        partner = digest.sender.address
+        is_new = not self._members.knows(digest.sender)
         self._members.merge((digest.sender, *digest.members), now)
+        if is_new:
+            # A newcomer learns of the others at once, and need not read by itself.
+            self._send(partner, self._digest(now))
         held = self._replica.revision
-        partner = digest.sender.address
         if digest.revision < held:
             self._send_missing(partner, digest.revision, now)
         elif digest.revision > held:
--- a/egrethook/balancers/gossip_members.py
+++ b/egrethook/balancers/gossip_members.py
@@ -104,6 +104,11 @@
             if now - known.heard_at < MEMBER_TIMEOUT_S
         ]
 
+    def knows(self, info: MemberInfo) -> bool:
+        """Return whether this incarnation of a member has been heard of."""
+        known = self._known.get(info.address)
+        return known is not None and known.info.incarnation == info.incarnation
+
     def forget(self, now: float) -> None:
         """Drop members that have been silent for long."""
         limit_s = 20 * MEMBER_TIMEOUT_S
--- a/egrethook/discovery/follower.py
+++ b/egrethook/discovery/follower.py
@@ -19,6 +19,9 @@
 A connection that has gone silent hides changes for little longer.
 """
 
+GATHER_S = 0.25
+"""Pause after changes, in which further ones gather for the next call, in seconds."""
+
 IDLE_POLL_S = 0.1
 """Time between two looks whether this process has to read, in seconds."""
 
@@ -70,7 +73,7 @@
                     await anyio.sleep(IDLE_POLL_S)
                     continue
                 try:
-                    await self._read()
+                    changed = await self._read()
                 except HistoryLostError:
                     _LOG.warning(
                         "the registry has dropped the history; all is read again.",
@@ -82,21 +85,25 @@
                     await anyio.sleep(self._pause_s())
                 else:
                     self._note_success()
+                    if changed:
+                        await anyio.sleep(GATHER_S)
         finally:
             with anyio.CancelScope(shield=True):
                 await self._source.aclose()
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
+        """Make one reading; return whether it brought changes."""
         if self._whole or not self._replica.revision:
             snapshot = await self._source.snapshot()
             self._replica.take_snapshot(snapshot, self._clock.now())
             self._whole = False
-            return
+            return False
         # A copy of unknown age is confirmed at once.
         stale = self._replica.age(self._clock.now()) > 2 * WATCH_S
         wait_s = 0.0 if stale else WATCH_S
         changes = await self._source.changes(self._replica.revision, wait_s)
         self._replica.take_changes(changes, self._clock.now())
+        return bool(changes.items)
 
     def _pause_s(self) -> float:
         shortest_s, longest_s = BACKOFF_S
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,7 +13,7 @@
 
 from egrethook.addresses import Address
 from egrethook.discovery.catalog import Catalog
-from egrethook.discovery.follower import RegistryFollower
+from egrethook.discovery.follower import GATHER_S, RegistryFollower
 from egrethook.discovery.http_client import HttpClient
 from egrethook.discovery.records import Changes, ItemKind, Snapshot
 from egrethook.discovery.replica import Replica
@@ -171,6 +171,22 @@
     assert 15 < len(source.calls) < 45
 
 
+class BusyRegistry(FakeSource):
+    """Has one more change each time it is asked."""
+
+    async def changes(self, after, wait_s):
+        await self._next("changes", after)
+        return Changes(after, after + 1, [item("a", after + 1)])
+
+
+def test_changes_in_quick_succession_are_gathered():
+    replica = Replica(lambda items, before: None)
+    source = BusyRegistry(Snapshot([item("a", 1)], 1))
+    follow(source, replica, 4.0)
+    assert replica.revision > 10
+    assert len(source.calls) < 4.0 / GATHER_S + 3
+
+
 def test_process_that_need_not_read_makes_no_calls():
     source = FakeSource(Snapshot([], 1))
     follow(source, Replica(lambda items, before: None), 5.0, must_read=lambda: False)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -21,7 +21,11 @@
     decode,
     encode,
 )
-from egrethook.balancers.gossip_members import MEMBER_TIMEOUT_S, GossipMembers
+from egrethook.balancers.gossip_members import (
+    MEMBER_TIMEOUT_S,
+    SAMPLE,
+    GossipMembers,
+)
 from egrethook.discovery.records import Changes, ItemKind, Snapshot
 from egrethook.discovery.replica import Replica
 from egrethook.emulator.builders import ManualClock
@@ -147,6 +151,17 @@
             self.wire.deliver()
 
 
+def test_newcomer_learns_of_the_others_from_its_first_digest():
+    """Nobody else draws it as a partner, and the one that it asks has no news."""
+    fleet = Fleet(12)
+    fleet.beat(12)
+    fleet.add(13)
+    newcomer = fleet.wire.gossips[Address("10.0.0.13", 7000)]
+    newcomer._send(Address("10.0.0.1", 7000), newcomer._digest(fleet.clock.now()))
+    fleet.wire.deliver()
+    assert len(newcomer._members.live(fleet.clock.now())) > SAMPLE / 2
+
+
 def test_report_on_an_upstream_reaches_the_own_failure_domain_at_once():
     fleet = Fleet(12)
     fleet.add(13, "zone-b")
