End a soak's processes when its driver is ended by a signal

Change: on SIGTERM or SIGINT the soak is cancelled, its fleet ends the processes by their ids, and the command ends with 130.

Test: the processes are gone once the command has ended. SIGKILL still leaves them.

--- a/egrethook/emulator/soak/run.py
+++ b/egrethook/emulator/soak/run.py
@@ -419,3 +419,20 @@
     def _withdraw(self, rule: str, names: set[str], since: float) -> None:
         until = time.monotonic()
         self._withdrawals.append(_Withdrawal(rule, frozenset(names), since, until))
+
+
+async def run_until_signal(soak: Soak) -> SoakReport | None:
+    """Run a soak; on SIGTERM or SIGINT end its processes and return None."""
+    report = None
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_cancel_on_signal, tasks.cancel_scope)
+        report = await soak.run()
+        tasks.cancel_scope.cancel()
+    return report
+
+
+async def _cancel_on_signal(scope: anyio.CancelScope) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            scope.cancel()
+            return
--- a/egrethook/operators/commands.py
+++ b/egrethook/operators/commands.py
@@ -19,7 +19,12 @@
 from egrethook.emulator.report import HEADINGS, RunReport, format_table
 from egrethook.emulator.runner import run_stand_in
 from egrethook.emulator.settings import load_stand_in
-from egrethook.emulator.soak.run import Soak, SoakOptions, SoakReport
+from egrethook.emulator.soak.run import (
+    Soak,
+    SoakOptions,
+    SoakReport,
+    run_until_signal,
+)
 from egrethook.exceptions import (
     AdminUnreachableError,
     EgrethookError,
@@ -47,6 +52,9 @@
 SECRET = "EGRETHOOK_SECRET"
 """Environment variable that holds the fleet's secret."""
 
+INTERRUPTED_STATUS = 130
+"""Exit status of a soak that was ended by a signal."""
+
 FAULTS_STATUS = 8
 """Exit status of a demonstration that lost, doubled or broke something."""
 
@@ -325,7 +333,10 @@
                 vms_a_domain=int(_number(self.option("vms"), "--vms")),
                 upstreams=int(_number(self.option("upstreams"), "--upstreams")),
             )
-            report = run_async(Soak(options, self.line).run)
+            report = run_async(run_until_signal, Soak(options, self.line))
+            if report is None:
+                self.line("interrupted; the processes were ended")
+                return INTERRUPTED_STATUS
             self._print(report)
             broken += len(report.violations)
         return FAULTS_STATUS if broken else 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+import time
+from pathlib import Path
+
 import anyio
 import pytest
 
@@ -35,3 +40,22 @@
         **dict.fromkeys(FAILED_ONCE, []),
     }
     assert all(report.requests > 300 for report in reports.values())
+
+
+def children_of(process):
+    path = Path(f"/proc/{process.pid}/task/{process.pid}/children")
+    return [int(number) for number in path.read_text().split()]
+
+
+@pytest.mark.end_to_end
+def test_soak_that_is_ended_by_a_signal_leaves_no_process():
+    command = [sys.executable, "-m", "egrethook", "soak", "--seed", "77"]
+    soak = subprocess.Popen(command, stdout=subprocess.DEVNULL)
+    deadline = time.monotonic() + 20.0
+    while len(children_of(soak)) < 6:
+        assert time.monotonic() < deadline
+        time.sleep(0.1)
+    children = children_of(soak)
+    soak.terminate()
+    assert soak.wait(20.0) == 130
+    assert not any(Path(f"/proc/{number}").exists() for number in children)
