Log whose word a verdict on an upstream is; refuse endless silences

A line on an upstream that is distrusted or trusted again says whether this balancer has found it out or was told, and how long the opening had been unanswered. A report with a silence of no known length would have ended the task that takes messages: it is refused (found while reading the decoder; test_report_out_of_bounds_is_refused).

--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -227,6 +227,8 @@
 
 
 def _unpack_report(packed: ttypes.UpstreamReport) -> UpstreamReport:
+    if packed.silent_ms < 0:
+        raise ValueError("a silence of negative length")
     verdict = Verdict(bool(packed.answers), _seconds(packed.silent_ms))
     return UpstreamReport(_token(packed.token), verdict)
 
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -80,7 +80,7 @@
         """
         if upstream.answered_at > sent_at:
             return
-        self._count_silence(upstream, now)
+        self._count_silence(upstream, now - sent_at, now, told=False)
         # Who hears from none of them may be cut off itself.
         if now - self._heard_at.get(upstream.domain, float("-inf")) < HEARD_S:
             self._tell(upstream, Verdict(False, now - sent_at))
@@ -88,19 +88,20 @@
     def note_answer(self, upstream: Upstream, now: float) -> None:
         """Count a flow that has opened."""
         if upstream.unanswered >= SILENCES:
-            _LOG.info("an upstream answers again.", upstream=upstream.name)
             self._tell(upstream, Verdict(True))
         upstream.answered_at = self._heard_at[upstream.domain] = now
-        self._trust(upstream, now)
+        self._trust(upstream, now, told=False)
 
     def note_report(self, upstream: Upstream, verdict: Verdict, now: float) -> None:
         """Take what another balancer of the same failure domain has found out."""
         if verdict.answers:
-            self._trust(upstream, now)
+            self._trust(upstream, now, told=True)
         elif upstream.answered_at < now - verdict.silent_s:
-            self._count_silence(upstream, now)
+            self._count_silence(upstream, verdict.silent_s, now, told=True)
 
-    def _count_silence(self, upstream: Upstream, now: float) -> None:
+    def _count_silence(
+        self, upstream: Upstream, silent_s: float, now: float, told: bool
+    ) -> None:
         if now - upstream.silent_at > SILENCE_MEMORY_S:
             upstream.unanswered = 0
         upstream.silent_at = now
@@ -117,6 +118,8 @@
                 "an upstream leaves openings unanswered.",
                 upstream=upstream.name,
                 silent_openings=upstream.unanswered,
+                silent_ms=round(silent_s * 1000),
+                told=told,
             )
 
     def _silences_needed(self, upstream: Upstream, now: float) -> int:
@@ -132,7 +135,9 @@
         point = crc32(f"{self._name}/{upstream.name}/{upstream.unanswered}".encode())
         return 1.0 + point / 2**32
 
-    def _trust(self, upstream: Upstream, now: float) -> None:
+    def _trust(self, upstream: Upstream, now: float, told: bool) -> None:
+        if upstream.unanswered >= SILENCES:
+            _LOG.info("an upstream answers again.", upstream=upstream.name, told=told)
         upstream.unanswered = 0
         upstream.distrusted_until = now
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -201,9 +201,22 @@
     assert len(fleet.reports[2]) == REPORTS_PER_S
 
 
-def test_report_of_a_bad_token_is_refused():
+@pytest.mark.parametrize(
+    "report",
+    [
+        UpstreamReport(2**32, SILENT),
+        UpstreamReport(0, SILENT),
+        UpstreamReport(1, Verdict(False, float("inf"))),
+    ],
+)
+def test_report_out_of_bounds_is_refused(report):
     with pytest.raises(BadMessageError):
-        decode(encode(UpstreamReport(2**32, SILENT)))
+        decode(encode(report))
+
+
+def test_report_arrives_as_it_was_sent():
+    report = UpstreamReport(2**32 - 1, SILENT)
+    assert decode(encode(report)) == report
 
 
 def test_change_reaches_every_member_from_one_reader():
