--- a/egrethook/operators/commands.py
+++ b/egrethook/operators/commands.py
@@ -19,12 +19,6 @@
 from egrethook.emulator.report import HEADINGS, RunReport, format_table
 from egrethook.emulator.runner import run_stand_in
 from egrethook.emulator.settings import load_stand_in
-from egrethook.emulator.soak.run import (
-    Soak,
-    SoakOptions,
-    SoakReport,
-    run_until_signal,
-)
 from egrethook.exceptions import (
     AdminUnreachableError,
     EgrethookError,
@@ -44,7 +38,9 @@
 from egrethook.operators.explain import explain, read_lines
 from egrethook.operators.fleet import HEADINGS as FLEET_HEADINGS
 from egrethook.operators.fleet import BalancerState, Fleet, ask_to_leave, fleet_rows
+from egrethook.operators.options import FAULTS_STATUS, number_option
 from egrethook.operators.reference import check_pages, write_pages
+from egrethook.operators.trial_commands import PlotCommand, SoakCommand
 from egrethook.published.documents import Document, IndexDocument
 from egrethook.settings import load_settings, read_text
 from egrethook.version import __version__
@@ -52,19 +48,6 @@
 SECRET = "EGRETHOOK_SECRET"
 """Environment variable that holds the fleet's secret."""
 
-INTERRUPTED_STATUS = 130
-"""Exit status of a soak that was ended by a signal."""
-
-FAULTS_STATUS = 8
-"""Exit status of a demonstration that lost, doubled or broke something."""
-
-
-def _number(text: str, name: str) -> float:
-    try:
-        return float(text)
-    except ValueError:
-        raise SettingsError(f"{name}: {text!r} is not a number") from None
-
 
 class ServeCommand(Command):
     """Runs a balancer."""
@@ -115,7 +98,7 @@
         """Run the command."""
         if not self.option("fabric"):
             raise SettingsError("--fabric HOST:PORT is missing")
-        deadline_s = _number(self.option("deadline"), "--deadline")
+        deadline_s = number_option(self.option("deadline"), "--deadline")
         run_async(
             call_service,
             self.option("fabric"),
@@ -163,8 +146,8 @@
             raise SettingsError(f"--layout: {layout!r} is not one of {list(LAYOUTS)}")
         options = DemoOptions(
             layout,
-            _number(self.option("seconds"), "--seconds"),
-            int(_number(self.option("seed"), "--seed")),
+            number_option(self.option("seconds"), "--seconds"),
+            int(number_option(self.option("seed"), "--seed")),
         )
         say = self.line_error if self.option("json") else self.line
         report = run_async(Demo(options, say).run)
@@ -308,49 +291,6 @@
         return 0
 
 
-class SoakCommand(Command):
-    """Runs a fault soak."""
-
-    name = "soak"
-    description = "Run real forwarding processes under random faults; check promises."
-    options = [
-        option("seed", None, "Seed of load and faults.", flag=False, default="1"),
-        option("seeds", None, "How many, from that one on.", flag=False, default="1"),
-        option("minutes", None, "Faults of each seed.", flag=False, default="0.5"),
-        option("vms", None, "VMs in each domain.", flag=False, default="2"),
-        option("upstreams", None, "Upstreams.", flag=False, default="6"),
-    ]
-
-    def handle(self) -> int:
-        """Run the command."""
-        first = int(_number(self.option("seed"), "--seed"))
-        count = int(_number(self.option("seeds"), "--seeds"))
-        broken = 0
-        for seed in range(first, first + count):
-            options = SoakOptions(
-                seed,
-                seconds=60.0 * _number(self.option("minutes"), "--minutes"),
-                vms_a_domain=int(_number(self.option("vms"), "--vms")),
-                upstreams=int(_number(self.option("upstreams"), "--upstreams")),
-            )
-            report = run_async(run_until_signal, Soak(options, self.line))
-            if report is None:
-                self.line("interrupted; the processes were ended")
-                return INTERRUPTED_STATUS
-            self._print(report)
-            broken += len(report.violations)
-        return FAULTS_STATUS if broken else 0
-
-    def _print(self, report: SoakReport) -> None:
-        for violation in report.violations:
-            self.line(f"BROKEN {violation.rule}: {violation.what}")
-        self.line(
-            f"seed {report.seed}: {report.answered} of {report.requests} answered,"
-            f" {report.answered_after_calm:.1%} after the faults,"
-            f" {len(report.violations)} promises broken; logs in {report.folder}"
-        )
-
-
 class ReferenceCommand(Command):
     """Writes the reference pages."""
 
@@ -393,6 +333,7 @@
     DrainCommand,
     ExplainCommand,
     SoakCommand,
+    PlotCommand,
     ReferenceCommand,
 ]
 
--- /dev/null
+++ b/egrethook/operators/trial_commands.py
@@ -0,0 +1,90 @@
+"""Commands that try the system out, or show how it did."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from egrethook.daemon import run_async
+from egrethook.emulator.soak.run import (
+    Soak,
+    SoakOptions,
+    SoakReport,
+    run_until_signal,
+)
+from egrethook.exceptions import UsageError
+from egrethook.operators.options import FAULTS_STATUS, number_option
+from egrethook.operators.played_days import draw_course
+from egrethook.platform.bench_journal import read_journal
+
+INTERRUPTED_STATUS = 130
+"""Exit status of a soak that was ended by a signal."""
+
+
+class SoakCommand(Command):
+    """Runs a fault soak."""
+
+    name = "soak"
+    description = "Run real forwarding processes under random faults; check promises."
+    options = [
+        option("seed", None, "Seed of load and faults.", flag=False, default="1"),
+        option("seeds", None, "How many, from that one on.", flag=False, default="1"),
+        option("minutes", None, "Faults of each seed.", flag=False, default="0.5"),
+        option("vms", None, "VMs in each domain.", flag=False, default="2"),
+        option("upstreams", None, "Upstreams.", flag=False, default="6"),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        first = int(number_option(self.option("seed"), "--seed"))
+        count = int(number_option(self.option("seeds"), "--seeds"))
+        broken = 0
+        for seed in range(first, first + count):
+            options = SoakOptions(
+                seed,
+                seconds=60.0 * number_option(self.option("minutes"), "--minutes"),
+                vms_a_domain=int(number_option(self.option("vms"), "--vms")),
+                upstreams=int(number_option(self.option("upstreams"), "--upstreams")),
+            )
+            report = run_async(run_until_signal, Soak(options, self.line))
+            if report is None:
+                self.line("interrupted; the processes were ended")
+                return INTERRUPTED_STATUS
+            self._print(report)
+            broken += len(report.violations)
+        return FAULTS_STATUS if broken else 0
+
+    def _print(self, report: SoakReport) -> None:
+        for violation in report.violations:
+            self.line(f"BROKEN {violation.rule}: {violation.what}")
+        self.line(
+            f"seed {report.seed}: {report.answered} of {report.requests} answered,"
+            f" {report.answered_after_calm:.1%} after the faults,"
+            f" {len(report.violations)} promises broken; logs in {report.folder}"
+        )
+
+
+class PlotCommand(Command):
+    """Draws the course of days played on the bench."""
+
+    name = "plot"
+    description = "Draw worth and prices over the plays of a bench journal."
+    arguments = [argument("journal", "The journal's folder.")]
+    options = [
+        option("site", None, "Whose days are drawn.", flag=False),
+        option("kind", None, "Which plays: score, run, hunt.", flag=False),
+        option("out", "o", "Where to write: .svg, .png or .pdf.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        site, out = self.option("site"), self.option("out")
+        if not site or not out:
+            raise UsageError("--site and --out are needed")
+        kind = self.option("kind") or "score"
+        days = read_journal(Path(self.argument("journal")))
+        drawn = draw_course(days, site, kind, Path(out))
+        self.line(f"{drawn} days drawn to {out}")
+        return 0
--- /dev/null
+++ b/egrethook/platform/bench_journal.py
@@ -0,0 +1,62 @@
+"""Reads the journal that the users' bench keeps of its plays."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from datetime import datetime
+from pathlib import Path
+
+import msgspec
+
+from egrethook.exceptions import DocumentError
+from egrethook.operators.played_days import PlayedDay
+
+
+class _Day(msgspec.Struct):
+    """A day of an entry; `G` is what the day was worth after prices."""
+
+    name: str
+    slot: str = ""
+    worth: float | None = msgspec.field(name="G", default=None)
+    served: float | None = None
+    prices: list[tuple[str, float | None, float | None]] = []
+
+
+class _Entry(msgspec.Struct):
+    """One play; `at` holds its begin and its end, if it came to one."""
+
+    at: tuple[datetime, str | None]
+    cmd: str
+    site: str | None = None
+    why: str | None = None
+    days: list[_Day] = []
+
+
+_ENTRY = msgspec.json.Decoder(_Entry)
+
+
+def read_journal(folder: Path) -> Iterator[PlayedDay]:
+    """Yield the days of a journal, the oldest play first.
+
+    Raises
+    ------
+    DocumentError
+        If an entry is not what it should be.
+    """
+    for path in sorted(folder.glob("*.json")):
+        try:
+            entry = _ENTRY.decode(path.read_bytes())
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise DocumentError(f"{path.name}: {error}") from None
+        for day in entry.days or []:
+            if day.worth is None or entry.site is None:
+                continue
+            yield PlayedDay(
+                site=entry.site,
+                day=day.name,
+                kind=entry.cmd,
+                played_at=entry.at[0],
+                worth=day.worth,
+                served=day.served or 0.0,
+                prices={name: price or 0.0 for name, _, price in day.prices},
+            )
