Compress messages of many records whole

The records' values were too short to be compressed each by itself.

Change: a message of 1 kB or more is compressed as a whole, and each is encoded once for all its receivers. A delta takes up to 48 kB before compression, so that it fits a datagram whatever it holds. Values are no longer compressed by themselves.

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -17,11 +17,11 @@
     UpstreamReport,
     decode,
     encode,
-    packed_size,
 )
 from egrethook.balancers.gossip_members import GossipMembers
 from egrethook.clock import Clock
 from egrethook.datagrams import DatagramSocket
+from egrethook.discovery.catalog import item_size
 from egrethook.discovery.records import Changes, PublishedItem
 from egrethook.discovery.replica import Replica
 from egrethook.exceptions import BadMessageError
@@ -32,8 +32,11 @@
 BEAT_S = 0.3
 """Time between two digests to the same partner, in seconds."""
 
-DELTA_BYTES = 24_000
-"""Bytes of items in one delta, unless its first item alone is longer."""
+DELTA_BYTES = 48_000
+"""Bytes of items in one delta before it is compressed.
+
+It fits a datagram whatever its items are, unless the first one alone is longer.
+"""
 
 PUSH_BYTES = 1_000
 """Most bytes of items that are sent without being asked for."""
@@ -119,8 +122,7 @@
             now = self._clock.now()
             self._members.beat(self._leaving)
             self._members.forget(now)
-            for partner in self._members.partners(now):
-                self._send(partner, self._digest(now))
+            self._send(self._digest(now), self._members.partners(now))
             await anyio.sleep(BEAT_S * self._rng.uniform(0.8, 1.2))
 
     async def receive(self) -> None:
@@ -137,14 +139,12 @@
         if not items or not before:
             return
         changes = Changes(before, self._replica.revision, items)
-        if sum(packed_size(item) for item in items) > PUSH_BYTES:
+        if sum(item_size(item) for item in items) > PUSH_BYTES:
             # Who lacks it asks once, in place of getting it from several.
-            for partner in self._members.audience(now):
-                self._send(partner, self._digest(now))
+            self._send(self._digest(now), self._members.audience(now))
             return
         delta = Delta(changes, self._replica.age(now))
-        for partner in self._members.audience(now):
-            self._send(partner, delta)
+        self._send(delta, self._members.audience(now))
 
     def _handle(self, datagram: bytes, source: Address) -> None:
         try:
@@ -166,8 +166,7 @@
         if not self._report_budget.take(now):
             return
         report = UpstreamReport(token, verdict)
-        for neighbour in self._members.neighbours(now):
-            self._send(neighbour, report)
+        self._send(report, self._members.neighbours(now))
 
     def _on_digest(self, digest: Digest) -> None:
         now = self._clock.now()
@@ -179,7 +178,7 @@
             self._send_missing(partner, digest.revision, now)
         elif is_new or digest.revision < held:
             # A newcomer learns of the others, who lags what there is to ask for.
-            self._send(partner, self._digest(now))
+            self._send(self._digest(now), [partner])
         if digest.revision > held:
             self._ask(partner, now)
         elif digest.revision == held:
@@ -192,19 +191,19 @@
             self._ask(source, now)
 
     def _send_missing(self, partner: Address, after: int, now: float) -> None:
-        changes = self._replica.catalog.since(after, DELTA_BYTES, packed_size)
+        changes = self._replica.catalog.since(after, DELTA_BYTES)
         if changes is None:
             return
         current = changes.revision == self._replica.revision
         age_s = self._replica.age(now) if current else float("inf")
-        self._send(partner, Delta(changes, age_s))
+        self._send(Delta(changes, age_s), [partner])
 
     def _ask(self, partner: Address, now: float) -> None:
         """Show a better informed member what is held here; it sends the rest."""
         if now - self._asked_at < PULL_INTERVAL_S:
             return
         self._asked_at = now
-        self._send(partner, self._digest(now, asks=True))
+        self._send(self._digest(now, asks=True), [partner])
 
     def _digest(self, now: float, asks: bool = False) -> Digest:
         return Digest(
@@ -215,11 +214,12 @@
             asks,
         )
 
-    def _send(self, partner: Address, message: GossipMessage) -> None:
+    def _send(self, message: GossipMessage, partners: Sequence[Address]) -> None:
         datagram = encode(message)
         if len(datagram) > DATAGRAM_LIMIT:
             # Whoever lacks this reads the registry itself.
             _LOG.warning("a message is too long to be sent.", bytes=len(datagram))
             return
-        self._bytes_sent += len(datagram)
-        self._socket.send(partner, datagram)
+        for partner in partners:
+            self._bytes_sent += len(datagram)
+            self._socket.send(partner, datagram)
--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -6,7 +6,6 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import lru_cache
 from typing import Any
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -22,21 +21,26 @@
 DATAGRAM_LIMIT = 60_000
 """Longest message that is decoded, in bytes."""
 
-VALUE_LIMIT = 4 * 2**20
-"""Longest value of an item, in bytes."""
+MESSAGE_LIMIT = 4 * 2**20
+"""Longest message once it has been decompressed, in bytes."""
 
 PACK_BYTES = 1_024
-"""Length from which a value is compressed, in bytes."""
-
-PACKED_VALUES = 16
-"""Compressed values that are kept, since each goes to several partners."""
+"""Length from which a message is compressed, in bytes."""
 
 NAME_LIMIT = 200
 """Longest name in a message, in characters."""
 
+CONTAINER_LIMIT = 4_096
+"""Most members or items in a message."""
+
 _FACTORY = TCompactProtocolAcceleratedFactory(
-    string_length_limit=DATAGRAM_LIMIT, container_length_limit=4096
+    string_length_limit=DATAGRAM_LIMIT, container_length_limit=CONTAINER_LIMIT
+)
+
+_LONG_FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=MESSAGE_LIMIT, container_length_limit=CONTAINER_LIMIT
 )
+"""Reads messages that were compressed."""
 
 _ERRORS = (TException, EOFError, ValueError, TypeError, OverflowError, zlib.error)
 
@@ -101,8 +105,10 @@
 def encode(message: GossipMessage) -> bytes:
     """Return a message as a datagram."""
     field, pack = _PACK[type(message)]
-    body = ttypes.GossipMessage(**{field: pack(message)})
-    return serialize(body, _FACTORY)
+    body = serialize(ttypes.GossipMessage(**{field: pack(message)}), _FACTORY)
+    if len(body) < PACK_BYTES:
+        return body
+    return serialize(ttypes.GossipMessage(packed=zlib.compress(body, 1)), _FACTORY)
 
 
 def decode(datagram: bytes) -> GossipMessage:
@@ -115,15 +121,30 @@
     """
     try:
         body = deserialize(ttypes.GossipMessage(), datagram, _FACTORY)
-        if body.digest is not None:
-            return _unpack_digest(body.digest)
-        if body.delta is not None:
-            return _unpack_delta(body.delta)
-        if body.report is not None:
-            return _unpack_report(body.report)
+        if body.packed is not None:
+            inner = _inflate(body.packed)
+            body = deserialize(ttypes.GossipMessage(), inner, _LONG_FACTORY)
+        return _unpack(body)
     except _ERRORS as error:
         raise BadMessageError(str(error)[:200] or type(error).__name__) from None
-    raise BadMessageError("a message without a body")
+
+
+def _inflate(packed: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    body = inflater.decompress(packed, MESSAGE_LIMIT)
+    if not inflater.eof:
+        raise ValueError("a message is cut off or too long")
+    return body
+
+
+def _unpack(body: ttypes.GossipMessage) -> GossipMessage:
+    if body.digest is not None:
+        return _unpack_digest(body.digest)
+    if body.delta is not None:
+        return _unpack_delta(body.delta)
+    if body.report is not None:
+        return _unpack_report(body.report)
+    raise ValueError("a message without a body")
 
 
 def _pack_member(member: MemberInfo) -> ttypes.MemberInfo:
@@ -172,33 +193,13 @@
     )
 
 
-def packed_size(item: PublishedItem) -> int:
-    """Return how many bytes an item takes in a message, about."""
-    return len(item.name) + len(_pack_value(item.value)[0] or b"")
-
-
-@lru_cache(maxsize=PACKED_VALUES)
-def _pack_value(value: bytes | None) -> tuple[bytes | None, bool]:
-    """Return a value as it is sent, and whether it has been compressed."""
-    if value is None or len(value) < PACK_BYTES:
-        return value, False
-    return zlib.compress(value, 1), True
-
-
 def _pack_item(item: PublishedItem) -> ttypes.Item:
-    value, packed = _pack_value(item.value)
-    return ttypes.Item(int(item.kind), item.name, item.revision, value, packed)
+    return ttypes.Item(int(item.kind), item.name, item.revision, item.value)
 
 
 def _unpack_item(item: ttypes.Item) -> PublishedItem:
-    value = item.value
-    if item.packed and value is not None:
-        inflater = zlib.decompressobj()
-        value = inflater.decompress(value, VALUE_LIMIT)
-        if not inflater.eof:
-            raise ValueError("a value is cut off or too long")
     kind, name = ItemKind(item.kind), _name(item.name)
-    return PublishedItem(kind, name, _revision(item.revision), value)
+    return PublishedItem(kind, name, _revision(item.revision), item.value)
 
 
 def _pack_delta(delta: Delta) -> ttypes.Delta:
--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
 
@@ -69,12 +69,7 @@
             self._revision = max(self._revision, changes.revision)
         return changed
 
-    def since(
-        self,
-        after: int,
-        limit_bytes: int,
-        size_of: Callable[[PublishedItem], int] = item_size,
-    ) -> Changes | None:
+    def since(self, after: int, limit_bytes: int) -> Changes | None:
         """Return the changes after a revision that fit, oldest first.
 
         Parameters
@@ -83,8 +78,6 @@
             The revision that the reader holds.
         limit_bytes : int
             Most bytes, unless the first item alone is longer.
-        size_of : callable
-            Returns the bytes that an item takes.
 
         Returns
         -------
@@ -97,7 +90,7 @@
         newer.sort(key=lambda item: item.revision)
         size = 0
         for count, item in enumerate(newer):
-            size += size_of(item)
+            size += item_size(item)
             if count and size > limit_bytes:
                 # What is held beyond `revision` may have gaps before it.
                 upto = min(newer[count - 1].revision, self._revision)
--- a/egrethook/wire/gossip/ttypes.py
+++ b/egrethook/wire/gossip/ttypes.py
@@ -246,17 +246,15 @@
      - name
      - revision
      - value
-     - packed
 
     """
 
 
-    def __init__(self, kind=None, name=None, revision=None, value=None, packed=None,):
+    def __init__(self, kind=None, name=None, revision=None, value=None,):
         self.kind = kind
         self.name = name
         self.revision = revision
         self.value = value
-        self.packed = packed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -287,11 +285,6 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.packed = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -318,10 +311,6 @@
             oprot.writeFieldBegin('value', TType.STRING, 4)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
-        if self.packed is not None:
-            oprot.writeFieldBegin('packed', TType.BOOL, 5)
-            oprot.writeBool(self.packed)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -524,14 +513,16 @@
      - digest
      - delta
      - report
+     - packed
 
     """
 
 
-    def __init__(self, digest=None, delta=None, report=None,):
+    def __init__(self, digest=None, delta=None, report=None, packed=None,):
         self.digest = digest
         self.delta = delta
         self.report = report
+        self.packed = packed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -560,6 +551,11 @@
                     self.report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.packed = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -582,6 +578,10 @@
             oprot.writeFieldBegin('report', TType.STRUCT, 3)
             self.report.write(oprot)
             oprot.writeFieldEnd()
+        if self.packed is not None:
+            oprot.writeFieldBegin('packed', TType.STRING, 4)
+            oprot.writeBinary(self.packed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -624,7 +624,6 @@
     (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
-    (5, TType.BOOL, 'packed', None, None, ),  # 5
 )
 all_structs.append(Delta)
 Delta.thrift_spec = (
@@ -647,6 +646,7 @@
     (1, TType.STRUCT, 'digest', [Digest, None], None, ),  # 1
     (2, TType.STRUCT, 'delta', [Delta, None], None, ),  # 2
     (3, TType.STRUCT, 'report', [UpstreamReport, None], None, ),  # 3
+    (4, TType.STRING, 'packed', 'BINARY', None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -22,7 +22,6 @@
   2: string name,
   3: i64 revision,
   4: optional binary value,
-  5: bool packed,
 }
 
 struct Delta {
@@ -42,4 +41,5 @@
   1: Digest digest,
   2: Delta delta,
   3: UpstreamReport report,
+  4: binary packed,
 }
