Drop a parameter of the virtual world that nothing reads

Cause: `_opened` took the upstream's name and never used it, so that each opening in the emulator also worked it out.

Change: the parameter and its argument are gone. Behaviour, tests and program code of the forwarding process are as they were.

--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -336,16 +336,13 @@
             self.after(self.caller_s, lambda: self.reset_for(taken.sport))
         elif taken.flags & SYN:
             upstream.openings += 1
-            name = upstream.record.name
-            self.after(
-                self.caller_s, lambda: self._opened(taken.sport, name, taken.echo)
-            )
+            self.after(self.caller_s, lambda: self._opened(taken.sport, taken.echo))
         elif taken.data and not taken.flags & (FIN | RST):
             call = self._by_port.get(taken.sport)
             if call is not None:
                 self._take_request(upstream, Work(call, taken.sport))
 
-    def _opened(self, port: int, name: str, echo: int) -> None:
+    def _opened(self, port: int, echo: int) -> None:
         call = self._by_port.get(port)
         if call is None or call.finished or call.opened_with:
             return
