Keep a leaving process from being ended by a further signal

Cause: anyio's signal receiver was closed when the leave began, which restored the default actions. A SIGHUP in the 1.3 s of forwarding that follow SIGTERM, or a second SIGTERM, then ended the process (-1, -15). Ruled out: keeping anyio's receiver open and blocking the signals at the end; threads of the event loop's library don't block them, and the process still ended with -1. Change: a receiver of our own that ignores its signals once it is closed, used by both daemons; the leave is logged.

--- a/egrethook/daemon.py
+++ b/egrethook/daemon.py
@@ -15,6 +15,7 @@
 from egrethook.logs import PartLog
 from egrethook.operators.admin import AdminApi
 from egrethook.settings import BalancerSettings
+from egrethook.signals import SignalReceiver
 
 READY_POLL_INTERVAL_S = 0.05
 """Interval between checks for the first configuration, in seconds."""
@@ -43,7 +44,7 @@
 
 
 async def _leave_on_signal(balancer: Balancer) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with SignalReceiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for number in signals:
             _LOG.info("signal received; leaving.", signal=number.name)
             balancer.leave()
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -22,6 +22,7 @@
 from egrethook.line_log import LineLog
 from egrethook.logs import PartLog
 from egrethook.operators.probes import ProbeAnswer, serve_probes
+from egrethook.signals import SignalReceiver
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM
 
 DUE_WORK_INTERVAL_S = 0.01
@@ -40,6 +41,8 @@
 gossip.
 """
 
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 _LOG = PartLog("forwarder")
 
 
@@ -102,8 +105,11 @@
         self._suspension_detector = SuspensionDetector()
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then leave."""
-        with self._peer_socket:
+        """Serve until SIGTERM or SIGINT, then leave.
+
+        Signals during the leave change nothing.
+        """
+        with self._peer_socket, SignalReceiver(*_SIGNALS) as signals:
             async with anyio.create_task_group() as tasks:
                 for task in (
                     self._serve_packets,
@@ -117,26 +123,24 @@
                     self._serve_metrics,
                 ):
                     tasks.start_soon(task)
-                await self._wait_for_leave()
+                await self._wait_for_leave(signals)
                 self._forwarder.request_leave()
+                _LOG.info("process leaving.", leave_s=self._settings.leave_s)
                 self._gossip.leave()
                 await anyio.sleep(self._settings.leave_s)
                 tasks.cancel_scope.cancel()
         flows = self._forwarder.dispatcher.known_flows
         _LOG.info("process stopping.", open_flows=flows)
 
-    async def _wait_for_leave(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            # A signal may have arrived before the event loop ran.
-            if self._forwarder.leave_requested:
+    async def _wait_for_leave(self, signals: SignalReceiver) -> None:
+        # A signal may have arrived before the event loop ran.
+        if self._forwarder.leave_requested:
+            return
+        async for number in signals:
+            _LOG.info("signal received.", signal=number.name)
+            if number != signal.SIGHUP:
                 return
-            async for number in signals:
-                _LOG.info("signal received.", signal=signal.Signals(number).name)
-                if number != signal.SIGHUP:
-                    return
-                self._reload()
+            self._reload()
 
     async def _watch_settings(self) -> None:
         """Reload the settings when the file changes without a signal."""
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -14,6 +14,8 @@
 import subprocess
 import sys
 import sysconfig
+import time
+from contextlib import contextmanager
 
 import pytest
 
@@ -108,23 +110,27 @@
         return sock.getsockname()[1]
 
 
-@pytest.mark.end_to_end
-@pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGHUP])
-def test_sigterm_while_libraries_load_stops_and_sighup_does_not(
-    tmp_path, signal_number
-):
-    host, port = "127.0.0.1", free_port()
+def read_until(process, text):
+    for line in process.stdout:
+        if text in line:
+            return
+    pytest.fail(f"the process ended before it logged {text}")
+
+
+@contextmanager
+def forwarding_process(tmp_path, leave_s):
+    """Start a forwarding process without a registry; yield it after its first line."""
+    host = "127.0.0.1"
     settings = {
         "name": "vm-1",
         "failure_domain": "zone-a",
-        "packets": f"{host}:{port}",
-        "peers": f"{host}:{port}",
+        "packets": f"{host}:{free_port()}",
+        "peers": f"{host}:{free_port()}",
         "probes": f"{host}:{free_port()}",
         "registry": f"{host}:1",
         "metrics_port": free_port(),
-        "leave_s": 0.1,
+        "leave_s": leave_s,
     }
-    settings["peers"] = f"{host}:{free_port()}"
     path = tmp_path / "node"
     path.write_text(json.dumps(settings))
     process = subprocess.Popen(
@@ -133,14 +139,39 @@
         stdout=subprocess.PIPE,
     )
     try:
-        first_line = process.stdout.readline()
-        assert b"the process starts" in first_line
+        read_until(process, b"the process starts")
+        yield process
+    finally:
+        process.kill()
+        process.stdout.close()
+
+
+@pytest.mark.end_to_end
+@pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGHUP])
+def test_sigterm_while_libraries_load_stops_and_sighup_does_not(
+    tmp_path, signal_number
+):
+    with forwarding_process(tmp_path, leave_s=0.1) as process:
         process.send_signal(signal_number)
         if signal_number == signal.SIGHUP:
             with pytest.raises(subprocess.TimeoutExpired):
                 process.wait(timeout=2.0)
             process.terminate()
         assert process.wait(timeout=10.0) == 0
-    finally:
-        process.kill()
-        process.stdout.close()
+
+
+@pytest.mark.end_to_end
+@pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGHUP])
+def test_signals_during_a_leave_do_not_cut_it_short(tmp_path, signal_number):
+    """Signals come in series; a process that leaves forwards until it has left."""
+    leave_s = 0.6
+    with forwarding_process(tmp_path, leave_s) as process:
+        read_until(process, b"libraries loaded")
+        process.terminate()
+        read_until(process, b"process leaving")
+        left_at = time.monotonic() + leave_s
+        while process.poll() is None:
+            process.send_signal(signal_number)
+            time.sleep(0.005)
+        assert process.returncode == 0
+        assert time.monotonic() >= left_at - 0.05
