Log and report ejections at the lowered threshold, and their end

Cause: both compared the count of unanswered openings with the ordinary threshold, so an upstream that was ejected after a single one was not reported when it answered again, and the neighbours kept their own pause. Change: the upstream's state says whether it is ejected. Result: two tests that failed before pass.

--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -100,7 +100,7 @@
 
     def note_answer(self, upstream: Upstream, now: float) -> None:
         """Record an answered opening, which ends an ejection."""
-        if upstream.unanswered >= EJECTION_THRESHOLD:
+        if upstream.ejected:
             self._notify(upstream, HealthObservation(True))
         upstream.answered_at = self._domain_answered_at[upstream.domain] = now
         self._reinstate(upstream, now, from_peer=False)
@@ -128,7 +128,8 @@
         shortest_s, longest_s = EJECTION_RANGE_S
         ejection_s = min(longest_s, shortest_s * 2.0 ** min(excess, 8))
         upstream.ejected_until = now + ejection_s * self._jitter_factor(upstream)
-        if not excess:
+        if not upstream.ejected:
+            upstream.ejected = True
             _LOG.warning(
                 "an upstream leaves openings unanswered.",
                 upstream=upstream.name,
@@ -152,13 +153,14 @@
         return 1.0 + digest / 2**32
 
     def _reinstate(self, upstream: Upstream, now: float, from_peer: bool) -> None:
-        if upstream.unanswered >= EJECTION_THRESHOLD:
+        if upstream.ejected:
             _LOG.info(
                 "an upstream answers again.",
                 upstream=upstream.name,
                 from_peer=from_peer,
             )
         upstream.unanswered = 0
+        upstream.ejected = False
         upstream.ejected_until = now
 
     def _notify(self, upstream: Upstream, observation: HealthObservation) -> None:
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -39,6 +39,8 @@
         Maximum busy flows; None until it is first adjusted.
     unanswered : int
         Number of consecutive unanswered openings.
+    ejected : bool
+        Whether it has been ejected since its last answer.
     answered_at, last_unanswered_at : float
         Times at which an opening was last answered and last found unanswered, in
         seconds.
@@ -55,6 +57,7 @@
         "answered_at",
         "busy_flows",
         "domain",
+        "ejected",
         "ejected_until",
         "flow_limit",
         "gone_at",
@@ -83,6 +86,7 @@
         self.unanswered = 0
         self.answered_at = float("-inf")
         self.last_unanswered_at = float("-inf")
+        self.ejected = False
         self.ejected_until = float("-inf")
         self.service_time_s = 0.0
         self.gone_at: float | None = None
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -108,6 +108,38 @@
     assert not third.is_ejected(later + 0.1)
 
 
+def test_recovery_after_an_ejection_at_the_lower_threshold_is_reported(
+    health, upstreams, reports
+):
+    first, second, _ = upstreams
+    for _ in range(2):
+        health.note_unanswered_opening(first, 0.95, 1.0)
+    health.note_unanswered_opening(second, 1.05, 1.1)
+    health.note_answer(second, 1.3)
+    assert reports == [("b", True)]
+
+
+def test_every_ejection_and_its_end_are_logged_once(health, upstreams, monkeypatch):
+    """Unanswered openings can pass the threshold without ever being equal to it."""
+    lines = []
+    for level in ("warning", "info"):
+        monkeypatch.setattr(
+            f"egrethook.upstreams.health._LOG.{level}",
+            lambda text, **fields: lines.append((fields["upstream"], text)),
+        )
+    first, second, _ = upstreams
+    health.note_unanswered_opening(second, 0.9, 0.95)
+    for _ in range(2):
+        health.note_unanswered_opening(first, 0.95, 1.0)
+    for sent_at in (1.05, 1.1):
+        health.note_unanswered_opening(second, sent_at, sent_at + 0.05)
+    health.note_answer(second, 1.3)
+    assert [text for upstream, text in lines if upstream == "b"] == [
+        "an upstream leaves openings unanswered.",
+        "an upstream answers again.",
+    ]
+
+
 def test_old_unanswered_openings_do_not_count(health, upstreams):
     upstream = upstreams[0]
     health.note_unanswered_opening(upstream, 0.95, 1.0)
