--- a/egrethook/upstreams/flow_limit.py
+++ b/egrethook/upstreams/flow_limit.py
@@ -89,7 +89,9 @@
     def __init__(self, initial_limit: int) -> None:
         self._initial_limit = initial_limit
         self._prompt_shares: defaultdict[str, float] = defaultdict(lambda: 1.0)
-        self._late_shares = defaultdict(lambda: INITIAL_LATE_SHARE)
+        self._late_shares: defaultdict[str, float] = defaultdict(
+            lambda: INITIAL_LATE_SHARE
+        )
 
     @property
     def initial_limit(self) -> int:
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -36,7 +36,8 @@
     busy_flows, idle_flows : int
         Flows through this balancer with and without a request in progress.
     flow_limit : float or None
-        Maximum busy flows, or less than 1 for pauses between flows; None until it is first adjusted.
+        Maximum busy flows, less than 1 for pauses between flows; None until it is
+        first adjusted.
     unanswered : int
         Number of consecutive unanswered openings.
     ejected : bool
