Bind callers' packets before the imports, and hold what can't be routed yet

Cause: a process binds its socket 0.3 to 0.5 s after its start, at 0.16 to 0.24 of a core; until then packets are lost, and after a power loss a request on an open flow comes back only after 0.8 or 1.6 s. Change: the start script binds the address that it is given with the built-in socket module, the process adopts the socket; packets with an unknown token are held like openings until the view is fresh, at most 2,000 and 1.4 s; held openings keep their time of arrival, only the latest copy is held, and copies that were queued together are sent once. undecided.py is held_packets.py now.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -11,8 +11,8 @@
     FlowState,
     ForwardedFlow,
 )
+from egrethook.callers.held_packets import HeldPackets, ReceivedPacket
 from egrethook.callers.segments import IPv4Endpoint, PacketPort, Segment, SegmentCodec
-from egrethook.callers.undecided import HeldOpening, HeldOpenings
 from egrethook.callers.waiting import WaitingOpening, WaitingQueue
 from egrethook.discovery.view import ForwardingView, pick_service
 from egrethook.logs import PartLog
@@ -101,7 +101,7 @@
         self._queues: dict[str, WaitingQueue] = {}
         self._counts = DispatcherCounts()
         self._last_openings: dict[tuple[int, IPv4Endpoint], ForwardedFlow] = {}
-        self._held_openings = HeldOpenings()
+        self._held_packets = HeldPackets()
         self._answer_times = AnswerTimes()
         self._last_expiry_at = 0.0
         self._view_is_fresh = False
@@ -137,10 +137,13 @@
             self._drop("malformed")
             return
         self._counts.packets += 1
-        if segment.opens:
-            self._handle_opening(segment, datagram, now)
+        self._dispatch(ReceivedPacket(segment, datagram, now), now)
+
+    def _dispatch(self, packet: ReceivedPacket, now: float) -> None:
+        if packet.segment.opens:
+            self._handle_opening(packet, now)
         else:
-            self._handle_flow_packet(segment, datagram, now)
+            self._handle_flow_packet(packet, now)
 
     def tick(self, now: float) -> None:
         """Resend unanswered openings, serve the queues and expire idle flows."""
@@ -165,18 +168,19 @@
 
     # Openings ------------------------------------------------------------------
 
-    def _handle_opening(self, segment: Segment, datagram: bytes, now: float) -> None:
+    def _handle_opening(self, packet: ReceivedPacket, now: float) -> None:
+        segment, datagram, arrived_at = packet
         flow = self._flows.get(segment.flow)
         if flow is not None:
             self._handle_repeated_opening(flow, segment, datagram, now)
             return
         route = self._view.route(segment.target)
         if route is None:
-            self._handle_unknown_route(segment, datagram, now)
+            self._handle_unknown_route(packet)
             return
         self._counts.openings += 1
         service = pick_service(route, segment.flow)
-        flow = ForwardedFlow(segment, datagram, route, service, now)
+        flow = ForwardedFlow(segment, datagram, route, service, arrived_at)
         self._avoid_silent_upstreams(flow, now)
         if self._send_opening(flow, now):
             self._flows[segment.flow] = flow
@@ -197,22 +201,20 @@
         if now - previous.sent_at >= self._answer_times.min_reconnect_s:
             flow.avoided = [*previous.avoided, *previous.tried]
 
-    def _handle_unknown_route(
-        self, segment: Segment, datagram: bytes, now: float
-    ) -> None:
+    def _handle_unknown_route(self, packet: ReceivedPacket) -> None:
         """Refuse an opening without a route, or hold it until the view is fresh."""
         if self._view_is_fresh:
-            self._reset(segment, "no route", version=self._table_version())
-        elif not self._held_openings.add(HeldOpening(segment, datagram, now)):
+            self._reset(packet.segment, "no route", version=self._table_version())
+        elif not self._held_packets.add(packet):
             self._drop("no route, view not fresh")
 
     def view_changed(self, now: float) -> None:
-        """Handle the held openings again; the view may have their routes by now."""
-        for segment, datagram, arrived_at in self._held_openings.take_all():
-            if now - arrived_at > OPENING_TIMEOUT_S:
-                self._drop("waited too long")
+        """Handle the held packets again; the view may route them by now."""
+        for packet in self._held_packets.take_all():
+            if packet.is_current(now):
+                self._dispatch(packet, now)
             else:
-                self._handle_opening(segment, datagram, now)
+                self._drop("waited too long")
 
     def _handle_repeated_opening(
         self, flow: ForwardedFlow, segment: Segment, datagram: bytes, now: float
@@ -220,13 +222,16 @@
         """Handle a retransmission of an opening by its caller.
 
         If the opening is unanswered, it is sent to another upstream, or once more to
-        the last one if no other has capacity.
+        the last one if no other has capacity. Copies that were queued together, as
+        during a start, leave the first one its time to be answered.
         """
         if flow.state is FlowState.WAITING:
             return
         if flow.state is FlowState.OPEN:
             self._forward(flow.tried[-1], datagram)
             return
+        if now - flow.sent_at < self._answer_times.resend_timeout_s:
+            return
         if not self._send_opening(flow, now):
             self._forward(flow.tried[-1], datagram)
 
@@ -331,10 +336,9 @@
 
     # Open flows ----------------------------------------------------------------
 
-    def _handle_flow_packet(
-        self, segment: Segment, datagram: bytes, now: float
-    ) -> None:
+    def _handle_flow_packet(self, packet: ReceivedPacket, now: float) -> None:
         """Update the flow that a packet belongs to, and forward it by its token."""
+        segment, datagram, _ = packet
         upstream = self._view.upstreams.by_token.get(segment.token)
         flow = self._flows.get(segment.flow)
         if flow is None and upstream is not None and segment.length:
@@ -342,16 +346,22 @@
         if flow is not None:
             self._update_flow(flow, segment, upstream, now)
         if upstream is None:
-            self._drop("unknown token")
-            _LOG.decision(
-                "a packet's token is not known; it is dropped.",
-                flow=self._codec.describe(segment),
-                token=segment.token,
-                revision=self._view.revision,
-            )
+            self._handle_unknown_token(packet)
             return
         self._forward(upstream, datagram)
 
+    def _handle_unknown_token(self, packet: ReceivedPacket) -> None:
+        """Drop a packet with an unknown token, or hold it until the view is fresh."""
+        if not self._view_is_fresh and self._held_packets.add(packet):
+            return
+        self._drop("unknown token")
+        _LOG.decision(
+            "a packet's token is not known; it is dropped.",
+            flow=self._codec.describe(packet.segment),
+            token=packet.segment.token,
+            revision=self._view.revision,
+        )
+
     def _track_flow_opened_elsewhere(
         self, segment: Segment, upstream: Upstream, now: float
     ) -> ForwardedFlow | None:
--- a/egrethook/callers/held_packets.py
+++ b/egrethook/callers/held_packets.py
@@ -1,37 +1,60 @@
-"""Openings without a known route, held until the view of the routes is fresh."""
+"""Packets that can't be routed while the view of the registry is out of date."""
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
+from egrethook.callers.forwarded_flow import OPENING_TIMEOUT_S
 from egrethook.callers.segments import Segment
 
-HELD_OPENINGS_LIMIT = 2_000
-"""Maximum number of openings held until the view is fresh."""
+HELD_PACKETS_LIMIT = 2_000
+"""Maximum number of packets held until the view is fresh."""
 
 
-class HeldOpening(NamedTuple):
-    """An opening as it was received, and its time of arrival in seconds."""
+class ReceivedPacket(NamedTuple):
+    """A packet as it was received, and its time of arrival in seconds."""
 
     segment: Segment
     datagram: bytes
     arrived_at: float
 
+    def is_current(self, now: float) -> bool:
+        """Return whether its sender may still be waiting for the answer."""
+        return now - self.arrived_at <= OPENING_TIMEOUT_S
 
-class HeldOpenings:
-    """Holds openings that have no known route while the view may be out of date."""
+
+class HeldPackets:
+    """Holds packets with an unknown route or token, until the view may have it.
+
+    Of an opening, only the latest copy is held.
+    """
 
     def __init__(self) -> None:
-        self._openings: dict[bytes, HeldOpening] = {}
+        self._openings: dict[bytes, ReceivedPacket] = {}
+        self._of_open_flows: list[ReceivedPacket] = []
+
+    def __len__(self) -> int:
+        return len(self._openings) + len(self._of_open_flows)
 
-    def add(self, opening: HeldOpening) -> bool:
-        """Hold an opening; return False if the limit is reached."""
-        if len(self._openings) >= HELD_OPENINGS_LIMIT:
+    def add(self, packet: ReceivedPacket) -> bool:
+        """Hold a packet; return False if the limit is reached."""
+        if len(self) >= HELD_PACKETS_LIMIT:
             return False
-        self._openings[opening.segment.flow] = opening
+        if packet.segment.opens:
+            self._openings[packet.segment.flow] = packet
+        else:
+            self._of_open_flows.append(packet)
         return True
 
-    def take_all(self) -> list[HeldOpening]:
-        """Return and remove all held openings."""
-        openings, self._openings = self._openings, {}
-        return list(openings.values())
+    def take_all(self) -> list[ReceivedPacket]:
+        """Remove all packets and return them in the order in which to forward them.
+
+        Packets of open flows come first, in the order of their arrival, and then
+        openings, those that were sent for the first time before retransmissions.
+        """
+        openings = sorted(
+            self._openings.values(), key=lambda packet: packet.segment.copy_index
+        )
+        packets = [*self._of_open_flows, *openings]
+        self._openings, self._of_open_flows = {}, []
+        return packets
--- a/egrethook/datagrams.py
+++ b/egrethook/datagrams.py
@@ -27,11 +27,14 @@
     ----------
     address : Address
         The address to bind; port 0 selects a free port.
+    bound : int, optional
+        File descriptor of a socket that was bound earlier. It is used if it is bound
+        to the address, and closed otherwise.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, bound: int | None = None) -> None:
         self._address = address
-        self._socket = _bind(address)
+        self._socket = _adopt(bound, address) or _bind(address)
         self._dropped = 0
 
     @property
@@ -93,13 +96,29 @@
         self.close()
 
 
+def _adopt(bound: int | None, address: Address) -> socket.socket | None:
+    """Return the socket of a file descriptor if it is bound to the address."""
+    if bound is None:
+        return None
+    sock = socket.socket(fileno=bound)
+    if sock.getsockname()[:2] != tuple(address):
+        sock.close()
+        return None
+    _configure(sock)
+    return sock
+
+
+def _configure(sock: socket.socket) -> None:
+    sock.setblocking(False)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+
+
 def _bind(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_DGRAM)
     try:
-        sock.setblocking(False)
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+        _configure(sock)
         sock.bind(address)
     except OSError as error:
         sock.close()
--- a/egrethook/emulator/soak/fleet.py
+++ b/egrethook/emulator/soak/fleet.py
@@ -165,7 +165,7 @@
         vm.expected_down = False
         with open(vm.log_path, "wb") as log:
             vm.process = subprocess.Popen(
-                [sys.executable, str(FORWARDER_SCRIPT)],
+                [sys.executable, str(FORWARDER_SCRIPT), f"{vm.host}:{vm.port}"],
                 env={
                     **os.environ,
                     "EGRETHOOK_CONFIG": str(path),
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -12,7 +12,6 @@
 from types import TracebackType
 from typing import Protocol, Self
 
-from egrethook.addresses import Address
 from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.callers.segments import IPv4Endpoint, SegmentCodec
 from egrethook.clock import MonotonicClock
@@ -84,6 +83,8 @@
         Decodes and encodes the headers of callers' packets.
     decoder : RecordDecoder
         Decodes published items.
+    packets : DatagramSocket
+        The socket for callers' packets, which this forwarder closes.
     """
 
     def __init__(
@@ -91,10 +92,11 @@
         settings: ForwarderSettings,
         codec: SegmentCodec,
         decoder: RecordDecoder,
+        packets: DatagramSocket,
     ) -> None:
         self._settings = settings
         self._clock = MonotonicClock()
-        self._socket = DatagramSocket(Address.parse(settings.packets))
+        self._socket = packets
         self._view = ForwardingView(decoder, settings.flow_life_s)
         self._listeners: list[ChangeListener] = []
         self._replica = Replica(self._on_changes)
--- a/egrethook/platform/daemon.py
+++ b/egrethook/platform/daemon.py
@@ -8,6 +8,7 @@
 from importlib import import_module
 
 from egrethook.addresses import Address
+from egrethook.datagrams import DatagramSocket
 from egrethook.exceptions import EgrethookError
 
 # Imports msgspec without a slow dependency, so it must come before the modules that
@@ -34,14 +35,22 @@
 """Modules that the event loop needs; imported while packets are forwarded."""
 
 
-def main() -> int:
-    """Run the process until it is told to leave; return the exit status."""
+def main(packet_socket: int | None = None) -> int:
+    """Run the process until it is told to leave; return the exit status.
+
+    Parameters
+    ----------
+    packet_socket : int, optional
+        File descriptor of a bound UDP socket for callers' packets. It is used if it
+        is bound to the address in the settings.
+    """
     try:
         path = os.environ.get(SETTINGS_VARIABLE, "")
         settings = load_forwarder_settings(path)
         log = LineLog(sys.stdout.fileno(), settings.name)
         set_destination(log)
-        with Forwarder(settings, PacketHeader(), StoreDecoder()) as forwarder:
+        packets = DatagramSocket(Address.parse(settings.packets), packet_socket)
+        with Forwarder(settings, PacketHeader(), StoreDecoder(), packets) as forwarder:
             StartupLoop(forwarder, RangeReading, _import_deferred_modules).run()
             # Garbage collection was off until here, see deploy/forwarder.py. Objects
             # created so far live on; exclude them from later collections.
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from egrethook.callers.answer_times import RESEND_TIMEOUT_RANGE_S
-from egrethook.callers.flow_dispatch import FlowDispatcher
+from egrethook.callers.flow_dispatch import CALLER_TIMEOUT_MARGIN_S, FlowDispatcher
 from egrethook.discovery.records import ItemKind, PublishedItem, UpstreamPhase
 from egrethook.discovery.view import ForwardingView
 from egrethook.emulator.flow_records import (
@@ -218,8 +218,8 @@
         harness.put(ItemKind.UPSTREAM, record.name, record)
     compared = []
     admits = FixedFlowLimit(3).admits
-    harness.limit.admits = (
-        lambda one, now, on_time: compared.append(one.name) or admits(one, now, on_time)
+    harness.limit.admits = lambda one, now, on_time: (
+        compared.append(one.name) or admits(one, now, on_time)
     )
     names = set()
     for port in range(2000, 2100):
@@ -370,6 +370,74 @@
     assert harness.sent() == ["a"]
 
 
+def hold_packets(harness):
+    """Make the view stale and forget the route; packets are held from now on."""
+    harness.dispatcher.view_is_fresh = False
+    harness.view.__init__(harness.decoder, flow_life_s=60.0)
+
+
+def publish_again(harness, now):
+    harness.put(ItemKind.ROUTES, "", route_table(), now)
+    for name in ("a", "b"):
+        harness.put_upstream(name, now)
+    harness.dispatcher.view_is_fresh = True
+    harness.dispatcher.view_changed(now)
+
+
+def test_packet_with_unknown_token_is_held_until_the_view_is_fresh():
+    """A balancer that has just started knows no upstream yet."""
+    harness = DispatcherHarness()
+    echo = harness.upstream("a").token
+    hold_packets(harness)
+    harness.dispatcher.handle(packet(2000, ACK, echo=echo, data=b"get"), 0.0)
+    assert harness.sent() == []
+    publish_again(harness, 0.2)
+    assert harness.sent() == ["a"]
+
+
+def test_held_packets_of_callers_that_gave_up_are_dropped():
+    harness = DispatcherHarness()
+    echo = harness.upstream("a").token
+    hold_packets(harness)
+    harness.dispatcher.handle(packet(2000, ACK, echo=echo, data=b"get"), 0.0)
+    harness.dispatcher.handle(packet(2001, SYN), 0.0)
+    harness.dispatcher.view_changed(1.0)
+    publish_again(harness, 1.5)
+    assert harness.sent() == []
+    assert harness.dispatcher.counts.dropped == {"waited too long": 2}
+
+
+def test_held_openings_keep_their_arrival_time():
+    harness = DispatcherHarness(names=("a",))
+    hold_packets(harness)
+    harness.dispatcher.handle(packet(2000, SYN), 0.0)
+    # Too close to the caller's timeout for a missing answer to be evidence.
+    publish_again(harness, 1.5 - CALLER_TIMEOUT_MARGIN_S)
+    harness.dispatcher.tick(1.35)
+    assert harness.upstream("a").unanswered == 0
+
+
+def test_copies_of_an_opening_that_were_queued_together_are_sent_once():
+    """Copies pile up in the socket while a process starts."""
+    harness = DispatcherHarness()
+    for copy in range(3):
+        harness.dispatcher.handle(packet(2000, SYN, ack=copy), 0.0)
+    assert harness.sent() == ["a"]
+
+
+def test_first_copies_are_served_before_held_retransmissions():
+    harness = DispatcherHarness(names=("a",), flow_limit=1)
+    hold_packets(harness)
+    for port, copy in ((2000, 0), (2000, 1), (2001, 0)):
+        harness.dispatcher.handle(packet(port, SYN, ack=copy), 0.0)
+    publish_again(harness, 0.1)
+    ports = [
+        HEADER.unpack_from(sent, INSTANCE_PREFIX.size)[1]
+        for _, sent in harness.port.to_upstreams
+    ]
+    assert ports == [2001, 2000]
+
+
 def test_draining_upstream_keeps_its_flows_but_gets_no_new_ones():
     harness = DispatcherHarness()
     harness.open(2000, 0.0)
--- a/tests/test_flow_load.py
+++ b/tests/test_flow_load.py
@@ -259,7 +259,9 @@
     for vm in world.vms:
         vm.up = False
         world.publish(vm)
-        world.after(1.6 + world.rng.uniform(0.0, 0.35), partial(setattr, vm, "up", True))
+        world.after(
+            1.6 + world.rng.uniform(0.0, 0.35), partial(setattr, vm, "up", True)
+        )
     time = 0.0
     while time < 5.0:
         time += world.rng.expovariate(205.0)
@@ -276,7 +278,9 @@
 
 
 def on_time_share(calls):
-    return sum(not call.failed and call.latency_s <= 0.15 for call in calls) / len(calls)
+    return sum(not call.failed and call.latency_s <= 0.15 for call in calls) / len(
+        calls
+    )
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -20,6 +20,7 @@
 import pytest
 
 from egrethook.addresses import Address
+from egrethook.datagrams import DatagramSocket
 from egrethook.interleaving import ImportInterleaver
 from egrethook.operators.early_probes import EarlyProbes
 
@@ -110,6 +111,57 @@
         return sock.getsockname()[1]
 
 
+def bound_socket():
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(("127.0.0.1", 0))
+    return sock
+
+
+def test_socket_that_was_bound_early_keeps_the_packets_queued_in_it():
+    early = bound_socket()
+    address = Address(*early.getsockname())
+    with bound_socket() as sender:
+        sender.sendto(b"opening", address)
+    with DatagramSocket(address, early.detach()) as packets:
+        assert [data for data, _ in packets.receive_ready()] == [b"opening"]
+
+
+def test_socket_that_was_bound_to_another_address_is_not_used():
+    early, address = bound_socket(), Address("127.0.0.1", free_port())
+    with DatagramSocket(address, early.detach()) as packets:
+        assert packets.address == address
+
+
+FAKE_DAEMON = """
+import socket
+
+
+def main(packet_socket):
+    if packet_socket is None:
+        print("not bound")
+    else:
+        print("%s:%d" % socket.socket(fileno=packet_socket).getsockname())
+"""
+
+
+@pytest.mark.parametrize(
+    "argument", [None, "127.0.0.1:{port}", "nonsense", "1.2.3.4:x"]
+)
+def test_packet_socket_is_bound_before_the_package_is_imported(tmp_path, argument):
+    (tmp_path / "egrethook" / "platform").mkdir(parents=True)
+    (tmp_path / "egrethook" / "platform" / "daemon.py").write_text(FAKE_DAEMON)
+    arguments = [] if argument is None else [argument.format(port=free_port())]
+    run = subprocess.run(
+        [sys.executable, "-P", "deploy/forwarder.py", *arguments],
+        env={**os.environ, "PYTHONPATH": str(tmp_path)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    bound = argument is not None and "{port}" in argument
+    assert run.stdout.strip() == (arguments[0] if bound else "not bound")
+
+
 def read_until(process, text):
     for line in process.stdout:
         if text in line:
