Leave modules that are slow to load out of the start

Change: socket, signal, selectors, platform, textwrap and the parts of msgspec that describe types are not loaded before the first packet; import_with_stand_ins replaces those that a library asks for.

--- a/egrethook/datagrams.py
+++ b/egrethook/datagrams.py
@@ -1,9 +1,13 @@
-"""Non-blocking UDP sockets."""
+"""Non-blocking UDP sockets.
+
+The modules that a process needs before its first packet use `_socket` and `_signal`:
+`socket` and `signal` take milliseconds to create their enumerations.
+"""
 
 from __future__ import annotations
 
+import _socket as socket
 import errno
-import socket
 from types import TracebackType
 from typing import Self
 
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-import socket
+import _socket as socket
 from collections.abc import Callable, Mapping, Sequence
 from types import TracebackType
 from typing import Protocol, Self
--- a/egrethook/forwarder_start.py
+++ b/egrethook/forwarder_start.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
+import _signal as signal
+import _socket as socket
 import errno
 import select
-import signal
-import socket
 from collections.abc import Callable
 from typing import Protocol
 
--- a/egrethook/operators/early_probes.py
+++ b/egrethook/operators/early_probes.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import _socket as socket
 import select
-import socket
 from collections.abc import Callable, Container
 from types import TracebackType
 from typing import Self
@@ -59,12 +59,13 @@
 
     def _accept(self) -> None:
         try:
-            connection, _ = self._listener.accept()
+            descriptor, _ = self._listener._accept()  # type: ignore[attr-defined]
         except OSError:
             # The client has already closed its connection.
             return
+        connection = socket.socket(fileno=descriptor)
         connection.setblocking(False)
-        self._connections[connection.fileno()] = connection
+        self._connections[descriptor] = connection
 
     def _respond(self, descriptor: int) -> None:
         connection = self._connections[descriptor]
--- a/egrethook/platform/daemon.py
+++ b/egrethook/platform/daemon.py
@@ -7,13 +7,12 @@
 import sys
 from importlib import import_module
 
+# Imports msgspec without a slow dependency, so it must come before the modules that
+# import msgspec.
+import egrethook.fast_import  # noqa: F401
 from egrethook.addresses import Address
 from egrethook.datagrams import DatagramSocket
 from egrethook.exceptions import EgrethookError
-
-# Imports msgspec without a slow dependency, so it must come before the modules that
-# import msgspec.
-from egrethook.fast_import import import_without  # noqa: F401
 from egrethook.forwarder import Forwarder
 from egrethook.forwarder_settings import load_forwarder_settings
 from egrethook.forwarder_start import StartupLoop
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -16,11 +16,14 @@
 import sysconfig
 import time
 from contextlib import contextmanager
+from importlib import import_module
+from types import ModuleType
 
 import pytest
 
 from egrethook.addresses import Address
 from egrethook.datagrams import DatagramSocket
+from egrethook.fast_import import import_with_stand_ins
 from egrethook.interleaving import ImportInterleaver
 from egrethook.operators.early_probes import EarlyProbes
 
@@ -42,6 +45,11 @@
     "urllib",
     "ipaddress",
     "logging",
+    "socket",
+    "signal",
+    "selectors",
+    "platform",
+    "textwrap",
 }
 
 
@@ -64,6 +72,17 @@
     assert loaded & SLOW_LIBRARIES == set()
 
 
+def test_replaced_modules_are_as_usual_after_the_import(tmp_path, monkeypatch):
+    (tmp_path / "slow_part.py").write_text("value = 'real'\n")
+    (tmp_path / "library.py").write_text("from slow_part import value\n")
+    monkeypatch.syspath_prepend(str(tmp_path))
+    stand_in = ModuleType("slow_part")
+    stand_in.value = "stand-in"
+    import_with_stand_ins("library", {"slow_part": stand_in})
+    assert import_module("library").value == "stand-in"
+    assert import_module("slow_part").value == "real"
+
+
 def test_step_runs_between_nested_imports_and_finder_is_removed(tmp_path, monkeypatch):
     for number in range(5):
         following = f"import slow_{number + 1}\n" if number < 4 else ""
