Move what a dispatcher does with packets into a class of its own

Change: FlowOutput forwards, refuses and drops; the version of the route table is a property of the view. Result: test_flow_dispatch, test_start and test_health pass unchanged.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 
 from egrethook.callers.answer_times import AnswerTimes
+from egrethook.callers.flow_output import FlowOutput
 from egrethook.callers.forwarded_flow import (
     OPENING_TIMEOUT_S,
     DispatcherCounts,
@@ -92,7 +93,6 @@
     ) -> None:
         self._view = view
         self._codec = codec
-        self._port = port
         self._selector = selector
         self._limit = limit
         self._health = health
@@ -100,6 +100,7 @@
         self._resend_due_at: OrderedDict[bytes, float] = OrderedDict()
         self._queues: dict[str, WaitingQueue] = {}
         self._counts = DispatcherCounts()
+        self._output = FlowOutput(codec, port, self._counts)
         self._last_openings: dict[tuple[int, IPv4Endpoint], ForwardedFlow] = {}
         self._held_packets = HeldPackets()
         self._answer_times = AnswerTimes()
@@ -134,7 +135,7 @@
         """Handle one packet from a caller."""
         segment = self._codec.decode(datagram)
         if segment is None:
-            self._drop("malformed")
+            self._output.drop("malformed")
             return
         self._counts.packets += 1
         self._dispatch(ReceivedPacket(segment, datagram, now), now)
@@ -204,9 +205,11 @@
     def _handle_unknown_route(self, packet: ReceivedPacket) -> None:
         """Refuse an opening without a route, or hold it until the view is fresh."""
         if self._view_is_fresh:
-            self._reset(packet.segment, "no route", version=self._table_version())
+            self._output.reset(
+                packet.segment, "no route", version=self._view.table_version
+            )
         elif not self._held_packets.add(packet):
-            self._drop("no route, view not fresh")
+            self._output.drop("no route, view not fresh")
 
     def view_changed(self, now: float) -> None:
         """Handle the held packets again; the view may route them by now."""
@@ -214,7 +217,7 @@
             if packet.is_current(now):
                 self._dispatch(packet, now)
             else:
-                self._drop("waited too long")
+                self._output.drop("waited too long")
 
     def _handle_repeated_opening(
         self, flow: ForwardedFlow, segment: Segment, datagram: bytes, now: float
@@ -228,12 +231,12 @@
         if flow.state is FlowState.WAITING:
             return
         if flow.state is FlowState.OPEN:
-            self._forward(flow.tried[-1], datagram)
+            self._output.forward(flow.tried[-1], datagram)
             return
         if now - flow.sent_at < self._answer_times.resend_timeout_s:
             return
         if not self._send_opening(flow, now):
-            self._forward(flow.tried[-1], datagram)
+            self._output.forward(flow.tried[-1], datagram)
 
     def _send_opening(self, flow: ForwardedFlow, now: float) -> bool:
         """Send an opening to an untried upstream; return False if none has capacity."""
@@ -251,7 +254,7 @@
             now + self._answer_times.resend_timeout_s
         )
         self._resend_due_at.move_to_end(flow.segment.flow)
-        self._forward(upstream, flow.datagram)
+        self._output.forward(upstream, flow.datagram)
         _LOG.decision(
             "an opening is sent to an upstream.",
             flow=self._codec.describe(flow.segment),
@@ -261,7 +264,7 @@
             candidates=len(candidates),
             busy_flows=upstream.busy_flows,
             waited_ms=round((now - flow.arrived_at) * 1000),
-            version=self._table_version(),
+            version=self._view.table_version,
             revision=self._view.revision,
         )
         return True
@@ -298,7 +301,7 @@
         )
         wait_s = queue.expected_wait_s(load.answers_per_s)
         if now + wait_s + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
-            self._reset(
+            self._output.reset(
                 flow.segment,
                 "too many wait",
                 waiting=len(queue),
@@ -322,7 +325,7 @@
                 continue
             if now + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
                 del self._flows[waiting.flow]
-                self._drop("waited too long")
+                self._output.drop("waited too long")
                 _LOG.decision(
                     "an opening is dropped; its caller has given up.",
                     flow=self._codec.describe(flow.segment),
@@ -348,13 +351,13 @@
         if upstream is None:
             self._handle_unknown_token(packet)
             return
-        self._forward(upstream, datagram)
+        self._output.forward(upstream, datagram)
 
     def _handle_unknown_token(self, packet: ReceivedPacket) -> None:
         """Drop a packet with an unknown token, or hold it until the view is fresh."""
         if not self._view_is_fresh and self._held_packets.add(packet):
             return
-        self._drop("unknown token")
+        self._output.drop("unknown token")
         _LOG.decision(
             "a packet's token is not known; it is dropped.",
             flow=self._codec.describe(packet.segment),
@@ -443,28 +446,3 @@
                 self._remove_flow(flow)
             elif flow.state is FlowState.OPEN and idle_s > REQUEST_IDLE_TIMEOUT_S:
                 flow.mark_idle()
-
-    # Outgoing packets ----------------------------------------------------------
-
-    def _forward(self, upstream: Upstream, datagram: bytes) -> None:
-        packet = self._codec.forward(datagram, upstream.instance, upstream.token)
-        self._port.to_upstream(upstream.address, packet)
-
-    def _reset(self, segment: Segment, reason: str, **fields: object) -> None:
-        counts = self._counts.reset
-        counts[reason] = counts.get(reason, 0) + 1
-        self._port.to_caller(segment.caller, self._codec.reset(segment))
-        _LOG.decision(
-            "an opening is refused.",
-            flow=self._codec.describe(segment),
-            reason=reason,
-            **fields,
-        )
-
-    def _drop(self, reason: str) -> None:
-        counts = self._counts.dropped
-        counts[reason] = counts.get(reason, 0) + 1
-
-    def _table_version(self) -> int:
-        table = self._view.table
-        return table.version if table else 0
--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -57,6 +57,11 @@
         """The active route configuration; None before the first one."""
         return self._table
 
+    @property
+    def table_version(self) -> int:
+        """The version of the active route configuration; 0 before the first one."""
+        return self._table.version if self._table else 0
+
     @property
     def domains_out(self) -> frozenset[str]:
         """The failure domains that are out of service and get no new flows."""
