Reset open flows whose upstream is gone, so that callers open others

Change: a request that is retransmitted marks its upstream; an opening then checks whether it lives, whatever its load; without any answer for 0.5 s (1.2 s if it may get no openings) its flows are reset, idle ones too, but none with a request that must not run twice, and nothing in the 3 s after a start or a suspension. A reset of an open flow has the sequence number that its caller expects. The route's type says whether requests are idempotent. The check of resends against two unresponsive upstreams replaces one that a lower flow limit had made pass without resends.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -348,6 +348,8 @@
             flow = self._track_flow_opened_elsewhere(segment, upstream, now)
         if flow is not None:
             self._update_flow(flow, segment, upstream, now)
+            if segment.flow in self._flows and self._reset_if_gone(flow, now):
+                return
         if upstream is None:
             self._handle_unknown_token(packet)
             return
@@ -388,6 +390,7 @@
         """Update the state of a flow from one of its packets."""
         flow.last_active_at = now
         if flow.state is FlowState.OPEN:
+            flow.segment = segment
             self._track_requests(flow, segment, now)
         elif flow.state is FlowState.SENT and upstream in flow.tried:
             self._mark_open(flow, segment, upstream, now)
@@ -416,12 +419,42 @@
             upstream.note_service_time(service_s)
             self._limit.note_answer(upstream, service_s, flow.route.objective_s, now)
             self._counts.request_times.observe(service_s)
+            self._health.note_progress(upstream)
             flow.record_answer(segment)
         if flow.is_new_data(segment):
             flow.record_request(segment, now)
+        elif flow.is_retransmission(segment, now):
+            self._health.note_stalled_request(flow.tried[0], flow.sent_at)
         if not flow.is_busy:
             self._serve_queue(flow.service, now)
 
+    def _reset_if_gone(self, flow: ForwardedFlow, now: float) -> bool:
+        """Reset an open flow whose upstream is gone, so that its caller opens another.
+
+        A request that must not run twice is left to its caller's timeout, since it may
+        have run.
+        """
+        if flow.state is not FlowState.OPEN or not flow.may_be_moved:
+            return False
+        upstream = flow.tried[0]
+        gets_openings = self._view.accepts_flows(upstream)
+        if not self._health.is_gone(upstream, gets_openings, now):
+            return False
+        silent_since = upstream.stalled_since or now
+        self._remove_flow(flow)
+        self._output.abort(
+            flow.segment,
+            "upstream gone",
+            upstream=upstream.name,
+            silent_ms=round((now - silent_since) * 1000),
+            silent_openings=upstream.unanswered,
+            gets_openings=gets_openings,
+            idempotent=flow.route.idempotent,
+            idle_ms=round((now - flow.last_active_at) * 1000),
+            revision=self._view.revision,
+        )
+        return True
+
     def _serve_queue(self, service: str, now: float) -> None:
         queue = self._queues.get(service)
         if queue:
@@ -444,5 +477,7 @@
             idle_s = now - flow.last_active_at
             if idle_s > _FLOW_IDLE_TIMEOUTS_S[flow.state]:
                 self._remove_flow(flow)
+            elif self._reset_if_gone(flow, now):
+                continue
             elif flow.state is FlowState.OPEN and idle_s > REQUEST_IDLE_TIMEOUT_S:
                 flow.mark_idle()
--- a/egrethook/callers/flow_output.py
+++ b/egrethook/callers/flow_output.py
@@ -37,8 +37,7 @@
 
     def reset(self, segment: Segment, reason: str, **fields: object) -> None:
         """Refuse an opening and log the reason, with the fields that decided it."""
-        counts = self._counts.reset
-        counts[reason] = counts.get(reason, 0) + 1
+        self._count_reset(reason)
         self._port.to_caller(segment.caller, self._codec.reset(segment))
         _LOG.decision(
             "an opening is refused.",
@@ -47,6 +46,21 @@
             **fields,
         )
 
+    def abort(self, segment: Segment, reason: str, **fields: object) -> None:
+        """Reset an open flow, given its caller's latest packet, and log the reason."""
+        self._count_reset(reason)
+        self._port.to_caller(segment.caller, self._codec.reset(segment))
+        _LOG.decision(
+            "an open flow is reset.",
+            flow=self._codec.describe(segment),
+            reason=reason,
+            **fields,
+        )
+
+    def _count_reset(self, reason: str) -> None:
+        counts = self._counts.reset
+        counts[reason] = counts.get(reason, 0) + 1
+
     def drop(self, reason: str) -> None:
         """Count a packet that is dropped."""
         counts = self._counts.dropped
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -23,6 +23,9 @@
 OPENING_SEND_OFFSETS_S = (0.0, 0.2, 0.6)
 """When a caller sends an opening and its retransmissions, in seconds."""
 
+MIN_RETRANSMISSION_TIMEOUT_S = 0.15
+"""Shortest time after which a caller retransmits a request, in seconds."""
+
 
 class FlowState(enum.Enum):
     """Progress of an opening: queued, sent to an upstream, or answered by one."""
@@ -38,7 +41,8 @@
     `tried` holds the upstreams that the opening was sent to, and only the flow's
     upstream once it is open; `avoided` holds those that left an earlier opening of the
     same caller unanswered. `sent_at` is when the opening, or the latest request of an
-    open flow, was sent.
+    open flow, was sent. `segment` is the opening, and the caller's latest packet once
+    the flow is open.
 
     A flow is busy while it opens, and from each request until the caller has
     acknowledged part of the answer. Otherwise it is idle: the caller keeps it open,
@@ -58,6 +62,7 @@
     _upstream: Upstream | None = None
     _busy: bool = False
     _request_end: int = 0
+    _request_waits: bool = False
     _acknowledged: int = 0
 
     @property
@@ -86,6 +91,11 @@
         """Whether the flow occupies capacity at its upstream."""
         return self._busy
 
+    @property
+    def may_be_moved(self) -> bool:
+        """Whether its caller may open another flow without running a request twice."""
+        return not self._request_waits or self.route.idempotent
+
     def can_be_on_time(self, now: float) -> bool:
         """Return whether an opening sent now can meet its latency objective."""
         service_s = min(MIN_SERVICE_TIME_S, self.route.objective_s / 2)
@@ -124,6 +134,7 @@
         self.state = FlowState.OPEN
         self.sent_at = self.last_active_at = now
         self._request_end = segment.end
+        self._request_waits = True
         self._acknowledged = segment.acknowledged
 
     def is_answered_by(self, segment: Segment) -> bool:
@@ -133,15 +144,29 @@
     def record_answer(self, segment: Segment) -> None:
         """Record that the current request is answered, and mark the flow idle."""
         self._acknowledged = segment.acknowledged
+        self._request_waits = False
         self.mark_idle()
 
     def is_new_data(self, segment: Segment) -> bool:
         """Return whether a packet carries bytes that were not sent before."""
         return segment.length > 0 and is_after(segment.end, self._request_end)
 
+    def is_retransmission(self, segment: Segment, now: float) -> bool:
+        """Return whether a packet repeats data of a request that is still unanswered.
+
+        Copies that were queued together do not count.
+        """
+        return (
+            self._busy
+            and segment.length > 0
+            and not is_after(segment.end, self._request_end)
+            and now - self.sent_at >= MIN_RETRANSMISSION_TIMEOUT_S
+        )
+
     def record_request(self, segment: Segment, now: float) -> None:
         """Record the data of a new request, or more data of the current one."""
         self._request_end = segment.end
+        self._request_waits = True
         if not self._busy:
             self._acknowledged = segment.acknowledged
             self.sent_at = now
--- a/egrethook/callers/segments.py
+++ b/egrethook/callers/segments.py
@@ -69,7 +69,7 @@
         ...
 
     def reset(self, segment: Segment) -> bytes:
-        """Return the reset packet that tells a caller that its flow is refused."""
+        """Return the packet that resets a flow, given its caller's latest packet."""
         ...
 
     def describe(self, segment: Segment) -> str:
--- a/egrethook/discovery/records.py
+++ b/egrethook/discovery/records.py
@@ -101,6 +101,8 @@
         Timeout of the requests in the flow, in seconds.
     objective_s : float
         Latency objective of the requests in the flow, in seconds.
+    idempotent : bool
+        Whether the requests in the flow may be sent again after they may have run.
     """
 
     name: str
@@ -109,6 +111,7 @@
     priority: int
     timeout_s: float
     objective_s: float
+    idempotent: bool = False
 
 
 class ColdLimit(Struct, frozen=True):
--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -91,6 +91,10 @@
         """Return the route of an address and port."""
         return self._routes.get(address)
 
+    def accepts_flows(self, upstream: Upstream) -> bool:
+        """Return whether an upstream may get new flows."""
+        return upstream.accepts_flows and upstream.domain not in self._domains_out
+
     def candidates(self, service: str) -> Sequence[Upstream]:
         """Return the upstreams of a service that may get new flows.
 
@@ -106,11 +110,10 @@
         return known
 
     def _find_candidates(self, service: str) -> list[Upstream]:
-        out = self._domains_out
         return [
             upstream
             for upstream in self._upstreams.of_service(service)
-            if upstream.accepts_flows and upstream.domain not in out
+            if self.accepts_flows(upstream)
         ]
 
     def _apply_routes(self, item: PublishedItem, now: float) -> None:
--- a/egrethook/emulator/flow_peers.py
+++ b/egrethook/emulator/flow_peers.py
@@ -73,6 +73,10 @@
         Source port of the current attempt; requests on the same flow share it.
     token : int
         Token of the open flow; 0 until the opening is answered.
+    reached_upstream : bool
+        Whether an upstream has received the request on the current flow.
+    flow_reset : bool
+        Whether the flow was reset after the answer.
     """
 
     number: int
@@ -88,6 +92,8 @@
     attempt: int = 0
     port: int = 0
     token: int = 0
+    reached_upstream: bool = False
+    flow_reset: bool = False
     answered_at: float | None = None
     failed: bool = False
 
--- a/egrethook/emulator/flow_records.py
+++ b/egrethook/emulator/flow_records.py
@@ -113,7 +113,9 @@
     return UpstreamRecord(**{**values, **changes})  # type: ignore[arg-type]
 
 
-def route_table(version: int = 1, objective_s: float = 0.15) -> RouteTable:
+def route_table(
+    version: int = 1, objective_s: float = 0.15, idempotent: bool = True
+) -> RouteTable:
     """Return a route table with one route to one service."""
     route = Route(
         name="route",
@@ -122,5 +124,6 @@
         priority=1,
         timeout_s=2.0,
         objective_s=objective_s,
+        idempotent=idempotent,
     )
     return RouteTable(version, (route,), {})
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -55,6 +55,7 @@
 INITIAL_FLOW_LIMIT = 2
 CALLER_COUNT = 80
 REQUEST_BYTES = 168
+REQUEST_RETRANSMISSION_OFFSETS_S = (0.2, 0.6, 1.4)
 ANSWER_BYTES = 1_000
 
 
@@ -132,6 +133,7 @@
         self.decoder = InMemoryDecoder()
         self.upstreams: dict[str, SimulatedUpstream] = {}
         self.calls: list[Call] = []
+        self.resets = 0
         self._calls_by_port: dict[int, Call] = {}
         self._vm_numbers = itertools.count()
         self.vms = [self._new_vm(domain) for domain in domains]
@@ -254,10 +256,13 @@
         return call
 
     def _send_next_request(self, previous: Call) -> None:
-        """Send the next request on the open flow of an earlier one."""
+        """Send the next request on the open flow of an earlier one, or on a new one."""
         call = self._new_call(
             previous.vm, previous.deadline_s, None, previous.think_time_s
         )
+        if previous.flow_reset:
+            self._start_attempt(call)
+            return
         call.port, call.token = previous.port, previous.token
         call.sent, call.received = previous.sent, previous.received
         self._calls_by_port[call.port] = call
@@ -302,7 +307,12 @@
     def on_reset(self, port: int) -> None:
         """Handle a reset that arrives at the port of a caller."""
         call = self._calls_by_port.get(port)
-        if call is not None and not call.finished:
+        if call is None:
+            return
+        self.resets += 1
+        if call.finished:
+            call.flow_reset = True
+        else:
             self._retry(call)
 
     def _send(self, call: Call, flags: int, data: bytes = b"") -> None:
@@ -320,7 +330,18 @@
         self._send_to_vm(call, packet)
 
     def _send_request(self, call: Call) -> None:
+        """Send a request; callers that keep flows open also retransmit it."""
+        call.reached_upstream = False
         self._send(call, ACK, bytes(REQUEST_BYTES))
+        if call.think_time_s is None:
+            return
+        for delay_s in REQUEST_RETRANSMISSION_OFFSETS_S:
+            self.after(delay_s, partial(self._retransmit, call, call.port))
+
+    def _retransmit(self, call: Call, port: int) -> None:
+        if call.port == port and not call.finished:
+            call.sent -= REQUEST_BYTES
+            self._send(call, ACK, bytes(REQUEST_BYTES))
 
     def _send_to_vm(self, call: Call, packet: bytes) -> None:
         vm = self.vms[call.vm]
@@ -358,7 +379,8 @@
             )
         elif received.data and not received.flags & (FIN | RST):
             call = self._calls_by_port.get(received.sport)
-            if call is not None:
+            if call is not None and not call.reached_upstream:
+                call.reached_upstream = True
                 self._on_request(upstream, UpstreamRequest(call, received.sport))
 
     def _on_opened(self, port: int, echo: int) -> None:
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -103,6 +103,7 @@
         self._is_cold_sender: Callable[[str], bool] = _deny_cold_upstreams
         self._flow_limit = AimdFlowLimit(settings.flow_limit)
         self._health = PassiveHealth(settings.name)
+        self._health.note_interruption(self._clock.now())
         selector = LeastFlowsSelector(
             settings.failure_domain,
             self._flow_limit,
@@ -214,6 +215,12 @@
         table = self._view.table
         return table.cold_limits if table else {}
 
+    def note_suspension(self) -> None:
+        """Distrust the view and what seemed silent: the machine was suspended."""
+        self._replica.mark_stale()
+        self._health.note_interruption(self._clock.now())
+        self.housekeep()
+
     def housekeep(self) -> None:
         """Drop expired upstreams, and check whether the view is still fresh."""
         now = self._clock.now()
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -229,5 +229,4 @@
         pause_s = self._suspension_detector.check()
         if pause_s:
             _LOG.warning("machine was suspended.", seconds=round(pause_s, 3))
-            self._forwarder.replica.mark_stale()
-            self._forwarder.housekeep()
+            self._forwarder.note_suspension()
--- a/egrethook/platform/packet_header.py
+++ b/egrethook/platform/packet_header.py
@@ -67,11 +67,23 @@
         )
 
     def reset(self, segment: Segment) -> bytes:
-        """Return an RST from the route's address to the caller."""
+        """Return an RST from the route's address to the caller.
+
+        On an open flow, its sequence number is the one that the caller expects.
+        """
         caller, port = segment.caller
         target, target_port = segment.target
         return HEADER.pack(
-            0, target_port, port, target, caller, 0, 0, RST, 0, b"\0\0\0\0"
+            0,
+            target_port,
+            port,
+            target,
+            caller,
+            segment.acknowledged,
+            0,
+            RST,
+            0,
+            b"\0\0\0\0",
         )
 
     def describe(self, segment: Segment) -> str:
--- a/egrethook/platform/store_messages.py
+++ b/egrethook/platform/store_messages.py
@@ -33,6 +33,9 @@
 EVACUATION_PREFIX = "op/evacuate/"
 """Prefix of the keys that each take one failure domain out of service."""
 
+_IDEMPOTENT_TYPES = frozenset({"safe", "download"})
+"""Types of routes whose requests are idempotent."""
+
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 _PHASES = {"ready": UpstreamPhase.READY, "draining": UpstreamPhase.DRAINING}
@@ -95,13 +98,15 @@
     """A route for new flows.
 
     Despite their names, `host` is an IPv4 address and `prefix` a port between
-    slashes, such as ``/443/``. `priority` 0 is the highest; `slo_ms` is the
-    latency objective of requests. A route has either a `service` or a `split`.
+    slashes, such as ``/443/``. `type` is the kind of the requests, see
+    `_IDEMPOTENT_TYPES`. `priority` 0 is the highest; `slo_ms` is the latency
+    objective of requests. A route has either a `service` or a `split`.
     """
 
     name: str
     host: str
     prefix: str
+    type: str = ""
     priority: int = 2
     timeout_ms: float = 0.0
     slo_ms: float = 0.0
@@ -236,4 +241,5 @@
         priority=entry.priority,
         timeout_s=entry.timeout_ms / 1000.0,
         objective_s=entry.slo_ms / 1000.0,
+        idempotent=entry.type in _IDEMPOTENT_TYPES,
     )
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -1,6 +1,7 @@
-"""Passive health checking: ejects upstreams that leave openings unanswered.
+"""Passive health checking from the packets of callers.
 
-An opening is the first packet of a flow.
+Upstreams that leave openings, the first packets of flows, unanswered are ejected. One
+that leaves requests on its open flows unanswered as well is gone.
 """
 
 from __future__ import annotations
@@ -30,6 +31,24 @@
 DOMAIN_REACHABLE_S = 1.0
 """Time for which an answer proves that its failure domain is reachable, in seconds."""
 
+GONE_AFTER_S = 0.5
+"""Age of an unanswered request at which an ejected upstream is gone, in seconds.
+
+Callers have retransmitted it by then.
+"""
+
+GONE_WITHOUT_OPENINGS_S = 1.2
+"""The same age for an upstream that gets no openings, in seconds.
+
+Callers have retransmitted the request three times by then.
+"""
+
+SETTLING_S = 3.0
+"""Time after a start or a suspension in which no upstream is gone, in seconds.
+
+Packets that were queued meanwhile make live upstreams look silent.
+"""
+
 _LOG = PartLog("health")
 
 
@@ -74,6 +93,7 @@
         self._domain_ejected_at: dict[str, float] = {}
         self._listener: HealthListener | None = None
         self._domain_answered_at: dict[str, float] = {}
+        self._settled_at = float("-inf")
 
     def set_listener(self, listener: HealthListener) -> None:
         """Set the receiver of this balancer's observations."""
@@ -105,6 +125,43 @@
         upstream.answered_at = self._domain_answered_at[upstream.domain] = now
         self._reinstate(upstream, now, from_peer=False)
 
+    def note_progress(self, upstream: Upstream) -> None:
+        """Record that a request on an open flow was answered, even in part."""
+        upstream.stalled_since = None
+
+    def note_stalled_request(self, upstream: Upstream, sent_at: float) -> None:
+        """Record that a caller has retransmitted a request.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the request was first sent, in seconds.
+        """
+        if upstream.stalled_since is None:
+            upstream.stalled_since = sent_at
+
+    def note_interruption(self, now: float) -> None:
+        """Draw no conclusions for a while: this process has started or been paused."""
+        self._settled_at = now + SETTLING_S
+
+    def is_gone(self, upstream: Upstream, gets_openings: bool, now: float) -> bool:
+        """Return whether an upstream shows no sign of life any more.
+
+        Requests on its open flows are unanswered although they were retransmitted, and
+        so are openings. One that only refuses new flows, or is slow, is not gone.
+
+        Parameters
+        ----------
+        gets_openings : bool
+            Whether new flows may go to the upstream. If not, its open flows decide.
+        """
+        if upstream.stalled_since is None or now < self._settled_at:
+            return False
+        stalled_s = now - upstream.stalled_since
+        if gets_openings:
+            return upstream.ejected and stalled_s >= GONE_AFTER_S
+        return stalled_s >= GONE_WITHOUT_OPENINGS_S
+
     def note_report(
         self, upstream: Upstream, observation: HealthObservation, now: float
     ) -> None:
@@ -162,6 +219,7 @@
         upstream.unanswered = 0
         upstream.ejected = False
         upstream.ejected_until = now
+        upstream.stalled_since = None
 
     def _notify(self, upstream: Upstream, observation: HealthObservation) -> None:
         if self._listener is not None:
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -142,6 +142,8 @@
         not_ejected = [upstream for upstream in usable if not upstream.is_ejected(now)]
         # If all are ejected, ejection is ignored.
         pool = not_ejected or usable
+        if not tried and (unchecked := self._first_unchecked(not_ejected, now)):
+            return unchecked
         available = [
             upstream
             for upstream in pool
@@ -155,6 +157,20 @@
         cost = self._cost(pool, [*tried, *avoided])
         return min(available[start:] + available[:start], key=cost)
 
+    def _first_unchecked(
+        self, upstreams: Iterable[Upstream], now: float
+    ) -> Upstream | None:
+        """Return an upstream that may be gone, whatever its load.
+
+        An opening shows it: a live one answers at once, and from another one it soon
+        moves on.
+        """
+        for upstream in upstreams:
+            if upstream.needs_check(now) and self._cold_admission.admits(upstream, now):
+                upstream.checked_at = now
+                return upstream
+        return None
+
     def _cost(
         self, pool: list[Upstream], unanswered: Collection[Upstream]
     ) -> Callable[[Upstream], float]:
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -8,6 +8,12 @@
 
 from egrethook.discovery.records import UpstreamPhase, UpstreamRecord
 
+CHECK_AFTER_S = 0.3
+"""Age of a retransmitted request after which an opening is due, in seconds."""
+
+CHECK_INTERVAL_S = 0.15
+"""Time between two such openings, in seconds."""
+
 SERVICE_TIME_EWMA_WEIGHT = 0.2
 """Weight of the newest request in the moving average of service times."""
 
@@ -47,6 +53,11 @@
         seconds.
     last_served_at : float
         Time at which a request was last answered, in seconds.
+    checked_at : float
+        When an opening was last sent to find out whether it is alive, in seconds.
+    stalled_since : float or None
+        When the oldest request was sent that its caller has retransmitted, in
+        seconds; None if an opening or a request has been answered since.
     service_time_s : float
         Moving average of service times, in seconds; 0.0 before the first answer.
     gone_at : float or None
@@ -59,6 +70,7 @@
         "address",
         "answered_at",
         "busy_flows",
+        "checked_at",
         "domain",
         "ejected",
         "ejected_until",
@@ -71,6 +83,7 @@
         "name",
         "service",
         "service_time_s",
+        "stalled_since",
         "token",
         "unanswered",
     )
@@ -91,6 +104,8 @@
         self.answered_at = float("-inf")
         self.last_unanswered_at = float("-inf")
         self.last_served_at = float("-inf")
+        self.stalled_since: float | None = None
+        self.checked_at = float("-inf")
         self.ejected = False
         self.ejected_until = float("-inf")
         self.service_time_s = 0.0
@@ -126,6 +141,14 @@
         """
         return now < self.ejected_until
 
+    def needs_check(self, now: float) -> bool:
+        """Return whether an opening is due that shows if the upstream is alive."""
+        return (
+            self.stalled_since is not None
+            and now - self.stalled_since >= CHECK_AFTER_S
+            and now - self.checked_at >= CHECK_INTERVAL_S
+        )
+
     def note_service_time(self, seconds: float) -> None:
         """Add the time from a request to its answer to the moving average."""
         if not self.service_time_s:
--- a/tests/test_flow_load.py
+++ b/tests/test_flow_load.py
@@ -16,6 +16,7 @@
 from egrethook.emulator.flow_records import FixedFlowLimit, upstream_record
 from egrethook.emulator.flow_world import FlowWorld
 from egrethook.upstreams.flow_limit import AimdFlowLimit
+from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.upstream import Upstream, upstream_load
 
 DOMAINS = ("zone-a", "zone-b")
@@ -47,22 +48,27 @@
     assert world.on_time_share() > 0.99
 
 
-def test_unresponsive_upstream_does_not_make_callers_late():
+def share_on_time_while_unresponsive(*names):
     world = make_world()
-    world.upstreams["up-0"].unresponsive = True
+    for name in names:
+        world.upstreams[name].unresponsive = True
     offer_load(world, 150.0, 0.0, 5.0)
     world.run(8.0)
-    assert world.answered_share() == 1.0
-    assert world.on_time_share() > 0.97
+    return world.on_time_share(), world.answered_share()
+
+
+def test_unresponsive_upstream_does_not_make_callers_late():
+    on_time, answered = share_on_time_while_unresponsive("up-0")
+    assert answered == 1.0
+    assert on_time > 0.97
 
 
-def test_without_resends_an_unresponsive_upstream_makes_callers_late(monkeypatch):
+def test_without_resends_unresponsive_upstreams_make_callers_late(monkeypatch):
+    on_time, _ = share_on_time_while_unresponsive("up-0", "up-1")
+    assert on_time > 0.97
     monkeypatch.setattr(answer_times, "RESEND_TIMEOUT_RANGE_S", (5.0, 5.0))
-    world = make_world()
-    world.upstreams["up-0"].unresponsive = True
-    offer_load(world, 150.0, 0.0, 5.0)
-    world.run(8.0)
-    assert world.on_time_share() < 0.97
+    on_time, _ = share_on_time_while_unresponsive("up-0", "up-1")
+    assert on_time < 0.97
 
 
 def test_idle_open_flows_leave_capacity_for_new_flows():
@@ -368,3 +374,58 @@
     load = upstream_load((fast, slow), 0.05)
     assert load.busy_flows == 4
     assert load.answers_per_s == pytest.approx(44.0)
+
+
+def lose_an_upstream_with_open_flows(seed):
+    """Callers keep 80 flows open; one of four upstreams falls silent for good."""
+    world = FlowWorld(seed, DOMAINS)
+    for number in range(4):
+        world.add_upstream(f"up-{number}", DOMAINS[number % 2])
+    for vm in world.vms:
+        world.publish(vm)
+
+    def pause_s():
+        return world.rng.expovariate(0.7)
+
+    for number in range(80):
+        keep = partial(world.call, number % 2, think_time_s=pause_s)
+        world.after(number * 0.02, keep)
+    offer_load(world, 40.0, 0.0, 6.0)
+    world.after(3.0, partial(setattr, world.upstreams["up-0"], "unresponsive", True))
+    world.run(9.0)
+    return world
+
+
+def failed_after(world, time):
+    return sum(call.failed and call.started_at > time for call in world.calls)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_callers_with_flows_to_an_upstream_that_is_gone_are_served(seed, monkeypatch):
+    world = lose_an_upstream_with_open_flows(seed)
+    assert world.resets > 0
+    assert failed_after(world, 2.5) == 0
+    monkeypatch.setattr(PassiveHealth, "is_gone", lambda *_: False)
+    assert failed_after(lose_an_upstream_with_open_flows(seed), 2.5) >= 10
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_flow_of_an_upstream_that_lives_is_reset(seed):
+    """All upstreams live, but are so slow that callers retransmit their requests."""
+    world = make_world(seed, upstreams=4)
+    for upstream in world.upstreams.values():
+        upstream.slow_factor = 12.0
+
+    def pause_s():
+        return world.rng.expovariate(0.2)
+
+    for number in range(40):
+        keep = partial(world.call, number % 2, think_time_s=pause_s)
+        world.after(number * 0.05, keep)
+    offer_load(world, 15.0, 0.0, 6.0)
+    world.run(9.0)
+    late = [call for call in world.calls if call.answered_at and call.latency_s > 0.6]
+    assert len(late) > 10, "callers have retransmitted"
+    assert (
+        sum(vm.dispatcher.counts.reset.get("upstream gone", 0) for vm in world.vms) == 0
+    )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -82,6 +82,12 @@
     assert header.reset(header.decode(OPENING)) == RESET
 
 
+def test_reset_of_an_open_flow_has_the_sequence_number_that_its_caller_expects():
+    header = PacketHeader()
+    segment = header.decode(OPENING)._replace(opens=False, acknowledged=0x01020304)
+    assert header.reset(segment)[14:18] == bytes.fromhex("01020304")
+
+
 def test_forward_adds_the_instance_and_replaces_only_the_token():
     datagram = OPENING + b"data"
     forwarded = PacketHeader().forward(datagram, 0x7F3A91C2, 0xDEADBEEF)
@@ -130,6 +136,25 @@
         StoreDecoder().routes(raw)
 
 
+@pytest.mark.parametrize(
+    "type_name, idempotent",
+    [("safe", True), ("download", True), ("unsafe", False), ("upload", False)],
+)
+def test_type_of_a_route_says_whether_its_requests_are_idempotent(
+    type_name, idempotent
+):
+    entry = {"name": "r", "host": "198.18.0.1", "prefix": "/1/", "service": "one"}
+    body = {"version": 1, "routes": [{**entry, "type": type_name}], "services": []}
+    (route,) = StoreDecoder().routes(value(body)).routes
+    assert route.idempotent == idempotent
+
+
+def test_route_without_a_type_is_not_idempotent():
+    entry = {"name": "r", "host": "198.18.0.1", "prefix": "/1/", "service": "one"}
+    body = {"version": 1, "routes": [entry], "services": []}
+    assert not StoreDecoder().routes(value(body)).routes[0].idempotent
+
+
 def test_configuration_decodes_to_a_route_table():
     table = StoreDecoder().routes(
         value(
@@ -158,6 +183,7 @@
     )
     (route,) = table.routes
     assert table.version == 7
+    assert route.idempotent
     assert route.address == (0xC6120001, 8443)
     assert [share.weight for share in route.services] == [90, 10]
     assert route.timeout_s == 2.0 and route.objective_s == 0.15
