--- a/egrethook/balancers/gossip_members.py
+++ b/egrethook/balancers/gossip_members.py
@@ -116,6 +116,14 @@
             if now - entry.last_heard_at < MEMBER_TIMEOUT_S
         ]
 
+    def live_domains(self, now: float) -> frozenset[str]:
+        """Return the failure domains of the live members."""
+        return frozenset(member.failure_domain for member in self.live(now))
+
+    def known_domains(self) -> frozenset[str]:
+        """Return the failure domains of all known members, dead ones included."""
+        return frozenset(entry.info.failure_domain for entry in self._entries.values())
+
     def knows(self, info: MemberInfo) -> bool:
         """Return whether this incarnation of a member is known."""
         entry = self._entries.get(info.address)
--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -95,6 +95,14 @@
         """Return whether an upstream may get new flows."""
         return upstream.accepts_flows and upstream.domain not in self._domains_out
 
+    def domains_with_upstreams(self) -> set[str]:
+        """Return the failure domains of the upstreams that may get new flows."""
+        return {
+            upstream.domain
+            for upstream in self._upstreams.all()
+            if self.accepts_flows(upstream)
+        }
+
     def candidates(self, service: str) -> Sequence[Upstream]:
         """Return the upstreams of a service that may get new flows.
 
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -24,6 +24,7 @@
 from egrethook.upstreams.cold_limit import FleetColdLimit
 from egrethook.upstreams.flow_limit import AimdFlowLimit
 from egrethook.upstreams.health import HealthListener, HealthObservation, PassiveHealth
+from egrethook.upstreams.reachability import HeardDomains, Reachability
 from egrethook.upstreams.selection import LeastFlowsSelector
 
 _LOG = PartLog("forwarder")
@@ -111,6 +112,12 @@
                 self._cold_limits, lambda upstream: self._is_cold_sender(upstream.name)
             ),
         )
+        self._heard_domains: Callable[[], HeardDomains] = HeardDomains
+        self._reachability = Reachability(
+            settings.failure_domain,
+            self._health,
+            lambda: self._heard_domains(),
+        )
         self._dispatcher = FlowDispatcher(
             self._view,
             codec,
@@ -172,7 +179,13 @@
     @property
     def ready(self) -> bool:
         """Whether the router may send flows to this process."""
-        return self.has_view and not self._leave_requested
+        return (
+            self.has_view
+            and not self._leave_requested
+            and self._reachability.reaches_any(
+                self._view.domains_with_upstreams(), self._clock.now()
+            )
+        )
 
     def handle_ready_packets(self) -> None:
         """Handle all packets that have arrived, then the work that is due."""
@@ -201,6 +214,10 @@
         """
         self._is_cold_sender = is_cold_sender
 
+    def set_heard_domains(self, heard_domains: Callable[[], HeardDomains]) -> None:
+        """Set what returns the failure domains whose balancers are heard."""
+        self._heard_domains = heard_domains
+
     def set_health_listener(self, listener: HealthListener) -> None:
         """Set the listener for this process's health observations of upstreams."""
         self._health.set_listener(listener)
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -24,6 +24,7 @@
 from egrethook.operators.probes import ProbeAnswer, serve_probes
 from egrethook.signals import SignalReceiver
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM
+from egrethook.upstreams.reachability import HeardDomains
 
 DUE_WORK_INTERVAL_S = 0.01
 """Interval between checks for due work, in seconds."""
@@ -99,6 +100,7 @@
             lambda upstream, verdict: self._gossip.report(upstream.token, verdict)
         )
         forwarder.set_cold_sender_check(self._is_cold_sender)
+        forwarder.set_heard_domains(self._heard_domains)
         self._follower = RegistryFollower(
             source, forwarder.replica, self._should_read_registry, self._clock, rng
         )
@@ -164,6 +166,12 @@
             or self._forwarder.replica.age(now) > INDEPENDENT_READ_AGE_S
         )
 
+    def _heard_domains(self) -> HeardDomains:
+        members = self._members
+        return HeardDomains(
+            members.live_domains(self._clock.now()), members.known_domains()
+        )
+
     def _is_cold_sender(self, upstream: str) -> bool:
         return self._members.is_among_first(
             upstream, SENDERS_PER_UPSTREAM, self._clock.now()
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -49,6 +49,9 @@
 Packets that were queued meanwhile make live upstreams look silent.
 """
 
+DOMAIN_SILENT_S = 0.15
+"""Time without an answer after which a failure domain is silent, in seconds."""
+
 _LOG = PartLog("health")
 
 
@@ -93,7 +96,8 @@
         self._domain_ejected_at: dict[str, float] = {}
         self._listener: HealthListener | None = None
         self._domain_answered_at: dict[str, float] = {}
-        self._settled_at = float("-inf")
+        self._domain_unanswered_at: dict[str, float] = {}
+        self._started_at = float("-inf")
 
     def set_listener(self, listener: HealthListener) -> None:
         """Set the receiver of this balancer's observations."""
@@ -109,6 +113,7 @@
         """
         if upstream.answered_at > sent_at:
             return
+        self._domain_unanswered_at[upstream.domain] = now
         self._count_unanswered(upstream, now - sent_at, now, from_peer=False)
         # Without recent answers from this domain, the fault may be on this side, so
         # the other balancers are not notified.
@@ -141,8 +146,8 @@
             upstream.stalled_since = sent_at
 
     def note_interruption(self, now: float) -> None:
-        """Draw no conclusions for a while: this process has started or been paused."""
-        self._settled_at = now + SETTLING_S
+        """Start afresh: this process has started or been paused."""
+        self._started_at = now
 
     def is_gone(self, upstream: Upstream, gets_openings: bool, now: float) -> bool:
         """Return whether an upstream shows no sign of life any more.
@@ -155,13 +160,24 @@
         gets_openings : bool
             Whether new flows may go to the upstream. If not, its open flows decide.
         """
-        if upstream.stalled_since is None or now < self._settled_at:
+        if upstream.stalled_since is None or now - self._started_at < SETTLING_S:
             return False
         stalled_s = now - upstream.stalled_since
         if gets_openings:
             return upstream.ejected and stalled_s >= GONE_AFTER_S
         return stalled_s >= GONE_WITHOUT_OPENINGS_S
 
+    def domain_silent_since(self, domain: str) -> float | None:
+        """Return since when a failure domain leaves openings unanswered, if it does.
+
+        A single one does not count, but `DOMAIN_SILENT_S` without an answer does.
+        """
+        answered_at = self._domain_answered_at.get(domain, self._started_at)
+        unanswered_at = self._domain_unanswered_at.get(domain, float("-inf"))
+        if unanswered_at - answered_at < DOMAIN_SILENT_S:
+            return None
+        return unanswered_at
+
     def note_report(
         self, upstream: Upstream, observation: HealthObservation, now: float
     ) -> None:
