Refuse queued openings when a process ends

Cause: a process that leaves forwards for 1.3 s more; openings that were still queued then were lost with it, and their callers waited up to 1.4 s. Change: what has arrived is handled once more, and queued openings, which have not run, are reset. Result: test_queued_openings_are_refused_when_the_process_ends fails without.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -337,6 +337,13 @@
                 return
             self._counts.wait_times.observe(now - flow.arrived_at)
 
+    def refuse_queued(self) -> None:
+        """Refuse all queued openings, which have not run, because the process ends."""
+        for flow in list(self._flows.values()):
+            if flow.state is FlowState.WAITING:
+                self._remove_flow(flow)
+                self._output.reset(flow.segment, "process leaving")
+
     # Open flows ----------------------------------------------------------------
 
     def _handle_flow_packet(self, packet: ReceivedPacket, now: float) -> None:
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -202,6 +202,11 @@
                 break
         self._dispatcher.tick(self._clock.now())
 
+    def finish_leave(self) -> None:
+        """Handle what has arrived, and refuse what would be lost with the process."""
+        self.handle_ready_packets()
+        self._dispatcher.refuse_queued()
+
     def apply_settings(self, settings: ForwarderSettings) -> None:
         """Apply the settings that need no restart."""
         self._settings = settings
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -131,6 +131,7 @@
                 self._gossip.leave()
                 await anyio.sleep(self._settings.leave_s)
                 tasks.cancel_scope.cancel()
+        self._forwarder.finish_leave()
         flows = self._forwarder.dispatcher.known_flows
         _LOG.info("process stopping.", open_flows=flows)
 
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -655,3 +655,14 @@
     harness.sent()
     harness.dispatcher.handle(packet(3000, SYN), 1.4)
     assert harness.sent() == []
+
+
+def test_queued_openings_are_refused_when_the_process_ends():
+    """Their callers reconnect at once, in place of a timeout after 1.4 s."""
+    harness = DispatcherHarness(names=("a",), flow_limit=1)
+    harness.dispatcher.handle(packet(2000, SYN), 0.0)
+    harness.dispatcher.handle(packet(2001, SYN), 0.0)
+    assert harness.dispatcher.waiting == 1
+    harness.dispatcher.refuse_queued()
+    assert reset_callers(harness) == [2001]
+    assert harness.dispatcher.counts.reset == {"process leaving": 1}
