Log the first upstreams in one line

Cause: a process logs each of 294 records at its first reading of the registry on the large site, before its first packet; each line is a system call, and the small VMs have 0.163 of a core. Change: one line gives their number and the revision; later changes are logged one by one as before.

--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -41,6 +41,7 @@
         self._candidates: dict[str, list[Upstream]] = {}
         self._candidates_version = (0, 0)
         self._updates = 0
+        self._logs_upstreams = False
 
     @property
     def revision(self) -> int:
@@ -86,6 +87,17 @@
                     revision=item.revision,
                     error=str(error),
                 )
+        if not self._logs_upstreams and len(self._upstreams):
+            self._log_first_upstreams()
+
+    def _log_first_upstreams(self) -> None:
+        """Log how many upstreams there are; from now on each change is logged."""
+        self._logs_upstreams = True
+        _LOG.info(
+            "first upstreams are known.",
+            upstreams=len(self._upstreams),
+            revision=self._revision,
+        )
 
     def route(self, address: tuple[int, int]) -> Route | None:
         """Return the route of an address and port."""
@@ -154,6 +166,8 @@
             self._upstreams.remove(item.name, now)
             raise
         upstream = self._upstreams.put(record, now)
+        if not self._logs_upstreams:
+            return
         _LOG.info(
             "upstream record changed.",
             upstream=item.name,
