Count silence of an upstream from its last sign of life

Cause: found by the exploration added here (seed 0, 1% loss): a request that stalled marked its upstream from the time when it was sent, although the upstream had answered another one since, so that two lost packets were enough to reset flows of an upstream that lives. Change: the silence begins at the last answer. FlowWorld loses packets, pauses balancers and tells whose open flows were reset.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -438,7 +438,7 @@
             upstream.note_service_time(service_s)
             self._limit.note_answer(upstream, service_s, flow.route.objective_s, now)
             self._counts.request_times.observe(service_s)
-            self._health.note_progress(upstream)
+            self._health.note_progress(upstream, now)
             flow.record_answer(segment)
         if flow.is_new_data(segment):
             flow.record_request(segment, now)
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -11,7 +11,7 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 from egrethook.callers.flow_dispatch import FlowDispatcher
@@ -72,6 +72,7 @@
 
     def to_caller(self, caller: IPv4Endpoint, packet: bytes) -> None:
         """Reset the caller; the only packets sent to callers are resets."""
+        self._world.note_reset(caller[1])
         self._world.after(
             self._world.caller_delay_s, lambda: self._world.on_reset(caller[1])
         )
@@ -81,7 +82,8 @@
 class SimulatedVm:
     """A balancer with its dispatcher and its view of the configuration.
 
-    A balancer that is not `up` drops all packets.
+    A balancer that is not `up` drops all packets; one that is `paused` handles them
+    when it goes on.
     """
 
     domain: str
@@ -89,6 +91,8 @@
     dispatcher: FlowDispatcher
     health: PassiveHealth
     up: bool = True
+    paused: bool = False
+    waiting_packets: list[bytes] = field(default_factory=list)
 
 
 def _default_limit() -> FlowLimit:
@@ -110,6 +114,15 @@
         Returns the limit on the busy flows of each upstream through one balancer.
     shares_health : bool
         Whether balancers of one failure domain share their health observations.
+    loss_share : float
+        Share of the packets from callers that get lost.
+
+    Attributes
+    ----------
+    resets : int
+        Resets that callers got on flows of theirs.
+    upstreams_of_reset_flows : list of str
+        The upstream of each open flow that a balancer has reset.
     """
 
     def __init__(
@@ -120,12 +133,14 @@
         inter_domain_delay_s: float = 0.003,
         new_limit: Callable[[], FlowLimit] = _default_limit,
         shares_health: bool = True,
+        loss_share: float = 0.0,
     ) -> None:
         self.rng = random.Random(seed)
         self.caller_delay_s = caller_delay_s
         self._inter_domain_delay_s = inter_domain_delay_s
         self._new_limit = new_limit
         self._shares_health = shares_health
+        self._loss_share = loss_share
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
@@ -134,6 +149,7 @@
         self.upstreams: dict[str, SimulatedUpstream] = {}
         self.calls: list[Call] = []
         self.resets = 0
+        self.upstreams_of_reset_flows: list[str] = []
         self._calls_by_port: dict[int, Call] = {}
         self._vm_numbers = itertools.count()
         self.vms = [self._new_vm(domain) for domain in domains]
@@ -212,10 +228,22 @@
         self.now = until
 
     def _tick(self, vm: SimulatedVm) -> None:
-        if vm.up:
+        if vm.up and not vm.paused:
             vm.dispatcher.tick(self.now)
         self.after(TICK_INTERVAL_S, lambda: self._tick(vm))
 
+    def pause(self, vm: SimulatedVm, duration_s: float) -> None:
+        """Stop a balancer for a while; packets wait at its socket."""
+        vm.paused = True
+        self.after(duration_s, partial(self._resume, vm))
+
+    def _resume(self, vm: SimulatedVm) -> None:
+        vm.paused = False
+        packets, vm.waiting_packets = vm.waiting_packets, []
+        for packet in packets:
+            vm.dispatcher.handle(packet, self.now)
+        vm.dispatcher.tick(self.now)
+
     # Callers ---------------------------------------------------------------------
 
     def call_domain(self, domain: str) -> Call:
@@ -304,6 +332,13 @@
             return
         self._start_attempt(call)
 
+    def note_reset(self, port: int) -> None:
+        """Record which upstream's flow a balancer resets, if it is open."""
+        call = self._calls_by_port.get(port)
+        if call is not None and call.token:
+            upstream = self.vms[call.vm].view.upstreams.by_token[call.token]
+            self.upstreams_of_reset_flows.append(upstream.name)
+
     def on_reset(self, port: int) -> None:
         """Handle a reset that arrives at the port of a caller."""
         call = self._calls_by_port.get(port)
@@ -345,9 +380,13 @@
 
     def _send_to_vm(self, call: Call, packet: bytes) -> None:
         vm = self.vms[call.vm]
+        if self._loss_share and self.rng.random() < self._loss_share:
+            return
 
         def arrive() -> None:
-            if vm.up:
+            if vm.paused:
+                vm.waiting_packets.append(packet)
+            elif vm.up:
                 vm.dispatcher.handle(packet, self.now)
 
         self.after(self.caller_delay_s, arrive)
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -128,10 +128,12 @@
         if upstream.ejected:
             self._notify(upstream, HealthObservation(True))
         upstream.answered_at = self._domain_answered_at[upstream.domain] = now
+        upstream.alive_at = now
         self._reinstate(upstream, now, from_peer=False)
 
-    def note_progress(self, upstream: Upstream) -> None:
+    def note_progress(self, upstream: Upstream, now: float) -> None:
         """Record that a request on an open flow was answered, even in part."""
+        upstream.alive_at = now
         upstream.stalled_since = None
 
     def note_stalled_request(self, upstream: Upstream, sent_at: float) -> None:
@@ -143,7 +145,7 @@
             When the request was first sent, in seconds.
         """
         if upstream.stalled_since is None:
-            upstream.stalled_since = sent_at
+            upstream.stalled_since = max(sent_at, upstream.alive_at)
 
     def note_interruption(self, now: float) -> None:
         """Start afresh: this process has started or been paused."""
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -55,9 +55,11 @@
         Time at which a request was last answered, in seconds.
     checked_at : float
         When an opening was last sent to find out whether it is alive, in seconds.
+    alive_at : float
+        When an opening or a request was last answered, in seconds.
     stalled_since : float or None
-        When the oldest request was sent that its caller has retransmitted, in
-        seconds; None if an opening or a request has been answered since.
+        When a request was sent that its caller has retransmitted, or `alive_at` if that
+        is later, in seconds; None if there is none or the upstream has answered since.
     service_time_s : float
         Moving average of service times, in seconds; 0.0 before the first answer.
     gone_at : float or None
@@ -68,6 +70,7 @@
         "_cold_until",
         "_record",
         "address",
+        "alive_at",
         "answered_at",
         "busy_flows",
         "checked_at",
@@ -104,6 +107,7 @@
         self.answered_at = float("-inf")
         self.last_unanswered_at = float("-inf")
         self.last_served_at = float("-inf")
+        self.alive_at = float("-inf")
         self.stalled_since: float | None = None
         self.checked_at = float("-inf")
         self.ejected = False
--- a/tests/test_flow_load.py
+++ b/tests/test_flow_load.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from functools import partial
 
 import pytest
@@ -429,3 +430,55 @@
     assert (
         sum(vm.dispatcher.counts.reset.get("upstream gone", 0) for vm in world.vms) == 0
     )
+
+
+def keep_flows_open_under_random_faults(seed):
+    """Random load, loss, slow upstreams and pauses; "up-0" falls silent for good.
+
+    Returns
+    -------
+    FlowWorld
+        After 12 seconds; the upstream is silent from second 4.
+    """
+    choices = random.Random(seed)
+    world = FlowWorld(
+        seed,
+        DOMAINS * choices.randint(1, 3),
+        loss_share=choices.choice((0, 0.01, 0.05)),
+    )
+    for number in range(choices.randint(3, 6)):
+        upstream = world.add_upstream(f"up-{number}", DOMAINS[number % 2])
+        upstream.slow_factor = choices.choice((1, 1, 1, 4, 12))
+    for vm in world.vms:
+        world.publish(vm)
+
+    def pause_s():
+        return world.rng.expovariate(0.6)
+
+    for number in range(choices.randint(10, 60)):
+        keep = partial(
+            world.call, number % len(world.vms), think_time_s=pause_s, deadline_s=3.0
+        )
+        world.after(number * 0.03, keep)
+    offer_load(world, choices.choice((2.0, 10.0, 30.0)), 0.0, 10.0)
+    for _ in range(choices.randint(0, 3)):
+        vm = choices.choice(world.vms)
+        length_s = choices.uniform(0.2, 2.5)
+        world.after(choices.uniform(0.5, 9.0), partial(world.pause, vm, length_s))
+    world.after(4.0, partial(setattr, world.upstreams["up-0"], "unresponsive", True))
+    world.run(12.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_only_flows_of_upstreams_that_are_gone_are_reset(seed):
+    world = keep_flows_open_under_random_faults(seed)
+    assert set(world.upstreams_of_reset_flows) <= {"up-0"}
+
+
+def test_random_faults_lead_to_resets_of_flows_of_an_upstream_that_is_gone():
+    resets = [
+        len(keep_flows_open_under_random_faults(seed).upstreams_of_reset_flows)
+        for seed in range(10)
+    ]
+    assert sum(count > 0 for count in resets) >= 6
