Let the soak allow a reset just after an upstream was silent

The users' rule counts a reset only while there was no disruption on the upstream or its links for 4 s; no balancer can know of an answer before it comes. Change: the check asks whether the upstream has answered for 4 s; during the silence it was passed over before as well. Result: test_flow_may_be_reset_until_its_upstream_has_answered_for_a_while.

--- a/egrethook/emulator/soak/peers.py
+++ b/egrethook/emulator/soak/peers.py
@@ -38,6 +38,9 @@
 their resets, so a reset with another value comes from one of them.
 """
 
+CALM_TIME_S = 4.0
+"""Time after a disturbance in which a flow may still be reset, in seconds."""
+
 ATTEMPTS_PER_REQUEST = 3
 """Maximum number of flows that a caller opens for one request."""
 
@@ -83,8 +86,6 @@
 
     Attributes
     ----------
-    unresponsive : bool
-        Whether packets are dropped.
     openings : list of tuple of float and str
         Time of each opening, and host of the VM that forwarded it.
     """
@@ -103,13 +104,31 @@
         self.domain = domain
         self.address = address
         self.started_ms = int(time.time() * 1000)
-        self.unresponsive = False
+        self._unresponsive = False
+        self._responsive_since = float("-inf")
         self.openings: list[tuple[float, str]] = []
         self._caller_port = caller_port
         self._violations = violations
         self._flows: set[tuple[int, ...]] = set()
         self._instance = int(name.rpartition("-")[2], 16)
 
+    @property
+    def unresponsive(self) -> bool:
+        """Whether packets are dropped."""
+        return self._unresponsive
+
+    @unresponsive.setter
+    def unresponsive(self, unresponsive: bool) -> None:
+        if self._unresponsive and not unresponsive:
+            self._responsive_since = time.monotonic()
+        self._unresponsive = unresponsive
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether it answers, and has answered for `CALM_TIME_S`."""
+        answered_s = time.monotonic() - self._responsive_since
+        return not self._unresponsive and answered_s >= CALM_TIME_S
+
     async def run(self) -> None:
         """Answer packets until cancelled."""
         with DatagramSocket(self.address) as socket:
@@ -175,8 +194,8 @@
         The address and port of each service.
     choose_vm : callable
         Returns the address of the VM that currently gets the packets of a flow.
-    is_alive : callable
-        Returns whether the upstream with a given name responds.
+    is_calm : callable
+        Returns whether no flow to the upstream with a given name may be reset.
     violations : list of Violation
         Violations are appended to it.
     rng : random.Random
@@ -193,14 +212,14 @@
         address: Address,
         targets: dict[str, IPv4Endpoint],
         choose_vm: Callable[[bytes], Address | None],
-        is_alive: Callable[[str], bool],
+        is_calm: Callable[[str], bool],
         violations: list[Violation],
         rng: random.Random,
     ) -> None:
         self._address = address
         self._targets = targets
         self._choose_vm = choose_vm
-        self._is_alive = is_alive
+        self._is_calm = is_calm
         self._violations = violations
         self._rng = rng
         self._socket = DatagramSocket(address)
@@ -280,8 +299,8 @@
         return False
 
     def _check_reset(self, flow: _CallerFlow) -> None:
-        """Record a violation if a forwarder reset a flow whose upstream is alive."""
-        if flow.reset_by_forwarder and self._is_alive(flow.upstream):
+        """Record a violation if a forwarder reset a flow whose upstream is calm."""
+        if flow.reset_by_forwarder and self._is_calm(flow.upstream):
             what = f"a forwarder reset a flow to {flow.upstream or 'an upstream'}"
             self._violations.append(Violation(time.monotonic(), "flow", what))
 
--- a/egrethook/emulator/soak/run.py
+++ b/egrethook/emulator/soak/run.py
@@ -251,16 +251,16 @@
             Address(self._host(3, number), self._base_port),
             self._targets(),
             lambda flow: self._fleet.choose_vm(domain, flow),
-            self._is_alive,
+            self._is_calm,
             self._violations,
             random.Random(self._rng.random()),
         )
         self._callers.append((domain, caller))
         tasks.start_soon(caller.run)
 
-    def _is_alive(self, name: str) -> bool:
+    def _is_calm(self, name: str) -> bool:
         upstream = self._upstreams.get(name)
-        return upstream is None or not upstream.unresponsive
+        return upstream is None or upstream.is_calm
 
     # Load and faults -------------------------------------------------------------
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,9 @@
 import anyio
 import pytest
 
+from egrethook.addresses import Address
 from egrethook.emulator.soak.fleet import SoakFleet, SoakVm
+from egrethook.emulator.soak.peers import CALM_TIME_S, PacketUpstream
 from egrethook.emulator.soak.run import Soak, SoakOptions
 
 REGRESSION_SEEDS = {
@@ -96,3 +98,15 @@
     fleet.check_processes()
     assert bool(violations) == is_violation
     assert started == ([] if is_violation else [vm])
+
+
+def test_flow_may_be_reset_until_its_upstream_has_answered_for_a_while(monkeypatch):
+    upstream = PacketUpstream("i-1", "a", "a", Address("127.0.0.1", 1), 1, [])
+    assert upstream.is_calm
+    now = time.monotonic()
+    upstream.unresponsive = True
+    assert not upstream.is_calm
+    upstream.unresponsive = False
+    assert not upstream.is_calm
+    monkeypatch.setattr(time, "monotonic", lambda: now + CALM_TIME_S + 1.0)
+    assert upstream.is_calm
