--- a/egrethook/emulator/soak/peers.py
+++ b/egrethook/emulator/soak/peers.py
@@ -24,6 +24,7 @@
     RST,
     SYN,
 )
+from egrethook.upstreams.upstream import flow_token
 
 RETRANSMIT_INTERVAL_S = 0.2
 """Interval at which a caller retransmits an unanswered request, in seconds."""
@@ -123,6 +124,12 @@
             self._responsive_since = time.monotonic()
         self._unresponsive = unresponsive
 
+    @property
+    def token(self) -> int:
+        """The token of its flows."""
+        # Only its name and its start are read.
+        return flow_token(self)  # type: ignore[arg-type]
+
     @property
     def is_calm(self) -> bool:
         """Whether it answers, and has answered for `CALM_TIME_S`."""
@@ -195,7 +202,7 @@
     choose_vm : callable
         Returns the address of the VM that currently gets the packets of a flow.
     is_calm : callable
-        Returns whether no flow to the upstream with a given name may be reset.
+        Returns whether no flow with a given token may be reset.
     violations : list of Violation
         Violations are appended to it.
     rng : random.Random
@@ -212,7 +219,7 @@
         address: Address,
         targets: dict[str, IPv4Endpoint],
         choose_vm: Callable[[bytes], Address | None],
-        is_calm: Callable[[str], bool],
+        is_calm: Callable[[int], bool],
         violations: list[Violation],
         rng: random.Random,
     ) -> None:
@@ -300,7 +307,7 @@
 
     def _check_reset(self, flow: _CallerFlow) -> None:
         """Record a violation if a forwarder reset a flow whose upstream is calm."""
-        if flow.reset_by_forwarder and self._is_calm(flow.upstream):
+        if flow.reset_by_forwarder and self._is_calm(flow.token):
             what = f"a forwarder reset a flow to {flow.upstream or 'an upstream'}"
             self._violations.append(Violation(time.monotonic(), "flow", what))
 
--- a/egrethook/emulator/soak/run.py
+++ b/egrethook/emulator/soak/run.py
@@ -258,9 +258,12 @@
         self._callers.append((domain, caller))
         tasks.start_soon(caller.run)
 
-    def _is_calm(self, name: str) -> bool:
-        upstream = self._upstreams.get(name)
-        return upstream is None or upstream.is_calm
+    def _is_calm(self, token: int) -> bool:
+        return all(
+            upstream.is_calm
+            for upstream in self._upstreams.values()
+            if upstream.token == token
+        )
 
     # Load and faults -------------------------------------------------------------
 
