--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from egrethook.callers.answer_times import RESEND_TIMEOUT_RANGE_S
 from egrethook.callers.flow_dispatch import CALLER_TIMEOUT_MARGIN_S, FlowDispatcher
 from egrethook.discovery.records import ItemKind, PublishedItem, UpstreamPhase
@@ -679,3 +682,41 @@
     harness.dispatcher.refuse_queued()
     assert reset_callers(harness) == [2001]
     assert harness.dispatcher.counts.reset == {"process leaving": 1}
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from((2000, 2001, 2002)),
+            st.integers(0, 255),
+            st.integers(0, 2**32 - 1),
+            st.integers(0, 2**32 - 1),
+            st.sampled_from(("a", "b", "none", "random")),
+            st.sampled_from((0, 1, 200)),
+            st.floats(0.0, 1.0),
+            st.integers(0, 40),
+        ),
+        max_size=30,
+    ),
+    st.randoms(use_true_random=False),
+)
+@settings(max_examples=300, deadline=None)
+def test_no_sequence_of_packets_ends_the_dispatcher(steps, rng):
+    """Flags, numbers and tokens are arbitrary, and some packets are cut short."""
+    harness = DispatcherHarness()
+    for port, flags, ack, sequence, owner, length, pause_s, cut in steps:
+        harness.advance(harness.now + pause_s)
+        tokens = {"none": 0, "random": rng.getrandbits(32)}
+        token = tokens.get(owner) or getattr(harness.upstream(owner), "token", 0)
+        data = packet(
+            port, flags, ack=ack, echo=token, sequence=sequence, data=bytes(length)
+        )
+        harness.dispatcher.handle(
+            data[: len(data) - cut] if cut > 30 else data, harness.now
+        )
+    harness.advance(harness.now + 40.0)
+    assert harness.dispatcher.known_flows == 0
+    assert harness.upstream("a").busy_flows == harness.upstream("a").idle_flows == 0
+    harness.sent()
+    harness.dispatcher.handle(packet(3000, SYN), harness.now)
+    assert len(harness.sent()) == 1
