--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -13,14 +13,14 @@
     ForwardedFlow,
 )
 from egrethook.callers.held_packets import HeldPackets, ReceivedPacket
+from egrethook.callers.opening_queues import OpeningQueues
 from egrethook.callers.segments import IPv4Endpoint, PacketPort, Segment, SegmentCodec
-from egrethook.callers.waiting import WaitingOpening, WaitingQueue
 from egrethook.discovery.view import ForwardingView, pick_service
 from egrethook.logs import PartLog
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import UpstreamSelector
-from egrethook.upstreams.upstream import Upstream, upstream_load
+from egrethook.upstreams.upstream import Upstream
 
 MAX_UPSTREAMS_PER_OPENING = 3
 """Number of upstreams tried after which an unanswered opening is not resent.
@@ -28,9 +28,6 @@
 A retransmission by the caller may still go to a further upstream.
 """
 
-TYPICAL_SERVICE_TIME_S = 0.05
-"""Time that an upstream usually needs to serve an opening, in seconds."""
-
 CALLER_TIMEOUT_MARGIN_S = 0.3
 """Time left before the caller's timeout below which silence is ignored, in seconds.
 
@@ -101,9 +98,11 @@
         self._health = health
         self._flows: dict[bytes, ForwardedFlow] = {}
         self._resend_due_at: OrderedDict[bytes, float] = OrderedDict()
-        self._queues: dict[str, WaitingQueue] = {}
         self._counts = DispatcherCounts()
         self._output = FlowOutput(codec, port, self._counts)
+        self._queues = OpeningQueues(
+            view, codec, self._output, self._flows, self._counts, self._send_opening
+        )
         self._last_openings: dict[tuple[int, IPv4Endpoint], ForwardedFlow] = {}
         self._held_packets = HeldPackets()
         self._answer_times = AnswerTimes()
@@ -124,7 +123,7 @@
     @property
     def waiting(self) -> int:
         """The number of openings queued for capacity."""
-        return sum(len(queue) for queue in self._queues.values())
+        return len(self._queues)
 
     @property
     def view_is_fresh(self) -> bool:
@@ -167,8 +166,7 @@
                 break
             del resend_due_at[flow_key]
             self._resend(flow_key, now)
-        for service in self._queues:
-            self._serve_queue(service, now)
+        self._queues.serve_all(now)
         if now - self._last_expiry_at > 0.5:
             self._last_expiry_at = now
             self._expire_flows(now)
@@ -198,7 +196,7 @@
         if self._send_opening(flow, now):
             self._flows[segment.flow] = flow
             return
-        self._enqueue(flow, now)
+        self._queues.add(flow, now)
 
     def _avoid_silent_upstreams(self, flow: ForwardedFlow, now: float) -> None:
         """Avoid the upstreams that left the caller's last opening unanswered.
@@ -223,6 +221,10 @@
         elif not self._held_packets.add(packet):
             self._output.drop("no route, view not fresh")
 
+    def refuse_queued(self) -> None:
+        """Refuse all queued openings, because the process ends."""
+        self._queues.refuse_all()
+
     def view_changed(self, now: float) -> None:
         """Handle the held packets again; the view may route them by now."""
         for packet in self._held_packets.take_all():
@@ -303,59 +305,6 @@
                 upstream=flow.tried[-1].name,
             )
 
-    # Queue ---------------------------------------------------------------------
-
-    def _enqueue(self, flow: ForwardedFlow, now: float) -> None:
-        """Queue an opening, or refuse it if the caller would time out in the queue."""
-        queue = self._queues.setdefault(flow.service, WaitingQueue())
-        load = upstream_load(
-            self._view.candidates(flow.service), TYPICAL_SERVICE_TIME_S
-        )
-        wait_s = queue.expected_wait_s(load.answers_per_s)
-        if now + wait_s + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
-            self._output.reset(
-                flow.segment,
-                "too many wait",
-                waiting=len(queue),
-                busy_flows=load.busy_flows,
-                wait_ms=round(min(wait_s, flow.route.timeout_s) * 1000),
-            )
-            return
-        self._counts.waited += 1
-        flow.last_active_at = now
-        self._flows[flow.segment.flow] = flow
-        queue.push(
-            WaitingOpening(flow.route.priority, now, flow.due_at, flow.segment.flow)
-        )
-
-    def _send_queued(self, service: str, queue: WaitingQueue, now: float) -> None:
-        """Send queued openings while an upstream has capacity."""
-        load = upstream_load(self._view.candidates(service), TYPICAL_SERVICE_TIME_S)
-        for waiting in queue.in_order(now, max(load.service_s, TYPICAL_SERVICE_TIME_S)):
-            flow = self._flows.get(waiting.flow)
-            if flow is None or flow.state is not FlowState.WAITING:
-                continue
-            if now + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
-                del self._flows[waiting.flow]
-                self._output.drop("waited too long")
-                _LOG.decision(
-                    "an opening is dropped; its caller has given up.",
-                    flow=self._codec.describe(flow.segment),
-                    waited_ms=round((now - flow.arrived_at) * 1000),
-                    waiting=len(queue),
-                )
-                continue
-            if not self._send_opening(flow, now):
-                return
-            self._counts.wait_times.observe(now - flow.arrived_at)
-
-    def refuse_queued(self) -> None:
-        """Refuse all queued openings, which have not run, because the process ends."""
-        for flow in list(self._flows.values()):
-            if flow.state is FlowState.WAITING:
-                self._remove_flow(flow)
-                self._output.reset(flow.segment, "process leaving")
-
     # Open flows ----------------------------------------------------------------
 
     def _handle_flow_packet(self, packet: ReceivedPacket, now: float) -> None:
@@ -415,7 +364,7 @@
             self._mark_open(flow, segment, upstream, now)
         if segment.closes or segment.aborts:
             self._remove_flow(flow)
-            self._serve_queue(flow.service, now)
+            self._queues.serve(flow.service, now)
 
     def _mark_open(
         self, flow: ForwardedFlow, segment: Segment, upstream: Upstream, now: float
@@ -445,7 +394,7 @@
         elif flow.is_retransmission(segment, now):
             self._health.note_stalled_request(flow.tried[0], flow.sent_at)
         if not flow.is_busy:
-            self._serve_queue(flow.service, now)
+            self._queues.serve(flow.service, now)
 
     def _reset_if_gone(self, flow: ForwardedFlow, now: float) -> bool:
         """Reset an open flow whose upstream is gone, so that its caller opens another.
@@ -474,11 +423,6 @@
         )
         return True
 
-    def _serve_queue(self, service: str, now: float) -> None:
-        queue = self._queues.get(service)
-        if queue:
-            self._send_queued(service, queue, now)
-
     def _remove_flow(self, flow: ForwardedFlow) -> None:
         del self._flows[flow.segment.flow]
         self._resend_due_at.pop(flow.segment.flow, None)
