--- a/egrethook/callers/flow_output.py
+++ b/egrethook/callers/flow_output.py
@@ -37,29 +37,24 @@
 
     def reset(self, segment: Segment, reason: str, **fields: object) -> None:
         """Refuse an opening and log the reason, with the fields that decided it."""
-        self._count_reset(reason)
-        self._port.to_caller(segment.caller, self._codec.reset(segment))
-        _LOG.decision(
-            "an opening is refused.",
-            flow=self._codec.describe(segment),
-            reason=reason,
-            **fields,
-        )
+        self._send_reset(segment, reason)
+        self._log("an opening is refused.", segment, reason, fields)
 
     def abort(self, segment: Segment, reason: str, **fields: object) -> None:
         """Reset an open flow, given its caller's latest packet, and log the reason."""
-        self._count_reset(reason)
-        self._port.to_caller(segment.caller, self._codec.reset(segment))
-        _LOG.decision(
-            "an open flow is reset.",
-            flow=self._codec.describe(segment),
-            reason=reason,
-            **fields,
-        )
+        self._send_reset(segment, reason)
+        self._log("an open flow is reset.", segment, reason, fields)
 
-    def _count_reset(self, reason: str) -> None:
+    def _send_reset(self, segment: Segment, reason: str) -> None:
         counts = self._counts.reset
         counts[reason] = counts.get(reason, 0) + 1
+        self._port.to_caller(segment.caller, self._codec.reset(segment))
+
+    def _log(
+        self, sentence: str, segment: Segment, reason: str, fields: dict[str, object]
+    ) -> None:
+        flow = self._codec.describe(segment)
+        _LOG.decision(sentence, flow=flow, reason=reason, **fields)
 
     def drop(self, reason: str) -> None:
         """Count a packet that is dropped."""
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -6,19 +6,16 @@
 
 from __future__ import annotations
 
+from dispatcher_harness import DispatcherHarness, packet, reset_callers
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from egrethook.callers.answer_times import RESEND_TIMEOUT_RANGE_S
-from egrethook.callers.flow_dispatch import CALLER_TIMEOUT_MARGIN_S, FlowDispatcher
-from egrethook.discovery.records import ItemKind, PublishedItem, UpstreamPhase
-from egrethook.discovery.view import ForwardingView
+from egrethook.callers.flow_dispatch import CALLER_TIMEOUT_MARGIN_S
+from egrethook.discovery.records import ItemKind, UpstreamPhase
 from egrethook.emulator.flow_records import (
     TARGET,
     FixedFlowLimit,
-    InMemoryDecoder,
-    NoColdLimit,
-    caller_packet,
     route_table,
     upstream_record,
 )
@@ -29,95 +26,14 @@
     INSTANCE_PREFIX,
     RST,
     SYN,
-    PacketHeader,
 )
-from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.selection import (
     LOCAL_SAMPLE_SIZE,
     REMOTE_SAMPLE_SIZE,
-    LeastFlowsSelector,
 )
 from egrethook.upstreams.upstream import flow_token
 
 
-class RecordingPort:
-    def __init__(self):
-        self.to_upstreams = []
-        self.to_callers = []
-
-    def to_upstream(self, address, packet):
-        self.to_upstreams.append((address[0], packet))
-
-    def to_caller(self, caller, packet):
-        self.to_callers.append((caller, packet))
-
-
-def packet(port, flags, ack=0, echo=0, target=TARGET, **fields):
-    return caller_packet(
-        port, flags, target, acknowledged=ack, echo=echo, checksum=b"sum!", **fields
-    )
-
-
-class DispatcherHarness:
-    """A dispatcher with upstreams `a`, in its own failure domain, and `b`."""
-
-    def __init__(self, names=("a", "b"), flow_limit=3):
-        self.decoder = InMemoryDecoder()
-        self.view = ForwardingView(self.decoder, flow_life_s=60.0)
-        self.port = RecordingPort()
-        self.limit = limit = FixedFlowLimit(flow_limit)
-        self.health = PassiveHealth("vm")
-        self.selector = LeastFlowsSelector("zone-a", limit, NoColdLimit())
-        self.dispatcher = FlowDispatcher(
-            self.view,
-            PacketHeader(),
-            self.port,
-            self.selector,
-            limit,
-            self.health,
-        )
-        self.revision = 0
-        self.put(ItemKind.ROUTES, "", route_table())
-        for name in names:
-            self.put_upstream(name)
-        self.dispatcher.view_is_fresh = True
-        self.now = 0.0
-
-    def advance(self, until):
-        """Tick as often as a running process does."""
-        while self.now + 0.1 < until:
-            self.now += 0.1
-            self.dispatcher.tick(self.now)
-        self.now = until
-        self.dispatcher.tick(until)
-
-    def put(self, kind, name, record, now=0.0):
-        self.revision += 1
-        value = None if record is None else self.decoder.encode(record)
-        self.view.update([PublishedItem(kind, name, self.revision, value)], now)
-
-    def put_upstream(self, name, now=0.0, **changes):
-        record = upstream_record(name, f"zone-{name}", **changes)
-        self.put(ItemKind.UPSTREAM, name, record, now)
-
-    def sent(self):
-        names = [name for name, _ in self.port.to_upstreams]
-        self.port.to_upstreams.clear()
-        return names
-
-    def upstream(self, name):
-        return self.view.upstreams.get(name)
-
-    def open(self, port, now):
-        """Open a flow and return the name of its upstream."""
-        self.dispatcher.handle(packet(port, SYN), now)
-        (name,) = self.sent()
-        echo = self.upstream(name).token
-        self.dispatcher.handle(packet(port, ACK, echo=echo), now + 0.01)
-        self.sent()
-        return name
-
-
 def test_forwarded_opening_carries_the_upstream_instance_and_token():
     harness = DispatcherHarness()
     harness.dispatcher.handle(packet(2000, SYN), 0.0)
@@ -525,154 +441,6 @@
     assert harness.view.table.version == 5
 
 
-def flow_request(harness, port, name, now, sequence=1, ack=1):
-    """Send a request, or a retransmission of it, on an open flow."""
-    harness.advance(now)
-    echo = harness.upstream(name).token
-    data = packet(port, ACK, echo=echo, ack=ack, sequence=sequence, data=bytes(10))
-    harness.dispatcher.handle(data, now)
-
-
-def flow_answered(harness, port, name, now, ack):
-    harness.advance(now)
-    echo = harness.upstream(name).token
-    harness.dispatcher.handle(packet(port, ACK, echo=echo, ack=ack, sequence=11), now)
-
-
-def leave_openings_unanswered(harness, now):
-    """Two openings to "a" get no answer, which ejects it."""
-    for port in (3000, 3001):
-        harness.dispatcher.handle(packet(port, SYN), now)
-    harness.advance(now + 0.1)
-    assert harness.upstream("a").ejected
-    harness.sent()
-
-
-def harness_with_open_flows(idempotent=True):
-    """Flows 2000 and 2001 are open at "a"; both have had their first answer."""
-    harness = DispatcherHarness(names=("a",))
-    harness.now = -5.0
-    harness.advance(0.0)
-    table = route_table(version=2, idempotent=idempotent)
-    harness.put(ItemKind.ROUTES, "", table)
-    for port in (2000, 2001):
-        flow_request(harness, port, "a", 0.02)
-        flow_answered(harness, port, "a", 0.05, ack=100)
-        harness.sent()
-    return harness
-
-
-def reset_callers(harness):
-    return [caller[1] for caller, _ in harness.port.to_callers]
-
-
-def test_flows_of_a_gone_upstream_are_reset_so_that_callers_open_others():
-    harness = harness_with_open_flows()
-    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
-    leave_openings_unanswered(harness, 1.0)
-    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
-    assert reset_callers(harness) == []
-    flow_request(harness, 2000, "a", 1.6, sequence=11, ack=100)
-    assert reset_callers(harness) == [2000]
-    header = HEADER.unpack(harness.port.to_callers[0][1])
-    assert header[5] == 100, "the sequence number that the caller expects"
-    harness.advance(2.2)
-    assert reset_callers(harness) == [2000, 2001]
-
-
-def test_request_that_must_not_run_twice_is_not_reset():
-    harness = harness_with_open_flows(idempotent=False)
-    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
-    leave_openings_unanswered(harness, 1.0)
-    for now in (1.2, 1.6, 2.4, 4.0):
-        flow_request(harness, 2000, "a", now, sequence=11, ack=100)
-        harness.advance(now + 0.01)
-    harness.advance(8.0)
-    assert reset_callers(harness) == [2001], "only the flow without a request"
-
-
-def test_flows_of_an_upstream_that_refuses_only_new_flows_stay():
-    harness = harness_with_open_flows()
-    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
-    leave_openings_unanswered(harness, 1.0)
-    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
-    flow_answered(harness, 2000, "a", 1.3, ack=200)
-    flow_request(harness, 2000, "a", 1.9, sequence=21, ack=200)
-    harness.advance(2.2)
-    assert reset_callers(harness) == []
-
-
-def test_flows_of_a_slow_upstream_that_answers_openings_stay():
-    harness = harness_with_open_flows()
-    for now in (1.0, 1.2, 1.6, 2.4):
-        flow_request(harness, 2000, "a", now, sequence=11, ack=100)
-    harness.advance(2.6)
-    assert reset_callers(harness) == []
-
-
-def test_no_upstream_is_gone_just_after_an_interruption():
-    """After a pause, packets that were queued meanwhile look like a silence."""
-    harness = harness_with_open_flows()
-    harness.now = 0.9
-    harness.dispatcher.tick(0.9)
-    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
-    leave_openings_unanswered(harness, 1.0)
-    for now in (1.2, 1.6, 2.4):
-        flow_request(harness, 2000, "a", now, sequence=11, ack=100)
-    assert reset_callers(harness) == []
-    flow_request(harness, 2000, "a", 4.0, sequence=11, ack=100)
-    assert reset_callers(harness) == [2000]
-
-
-def test_copies_of_a_request_that_were_queued_together_are_no_retransmission():
-    harness = harness_with_open_flows()
-    leave_openings_unanswered(harness, 0.9)
-    for _ in range(3):
-        flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
-    harness.advance(2.0)
-    assert reset_callers(harness) == []
-
-
-def test_flows_of_a_domain_that_was_taken_out_are_reset_when_it_is_cut_off():
-    """Without openings, only requests on open flows show that an upstream is gone."""
-    harness = harness_with_open_flows()
-    harness.put(ItemKind.DOMAIN_OUT, "zone-a", upstream_record("any", "zone-a"))
-    for now in (1.0, 1.2, 1.6):
-        flow_request(harness, 2000, "a", now, sequence=11, ack=100)
-    harness.advance(2.0)
-    assert reset_callers(harness) == []
-    harness.advance(2.8)
-    assert reset_callers(harness) == [2000, 2001]
-
-
-def test_opening_shows_whether_an_upstream_that_stalls_is_alive():
-    """Its stalled requests make it look busy, so it would get no openings at all."""
-    harness = DispatcherHarness(flow_limit=1)
-    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
-    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
-    harness.sent()
-    harness.dispatcher.handle(packet(3000, SYN), 1.25)
-    assert harness.sent() == ["b"]
-    harness.dispatcher.handle(packet(3001, SYN), 1.35)
-    assert harness.sent() == ["a"]
-    echo = harness.upstream("a").token
-    harness.dispatcher.handle(packet(3001, ACK, echo=echo), 1.36)
-    harness.sent()
-    flow_request(harness, 2000, "a", 1.8, sequence=11, ack=100)
-    harness.advance(2.5)
-    assert reset_callers(harness) == [], "it is alive"
-
-
-def test_cold_upstream_that_stalls_gets_no_openings_beyond_its_limit():
-    harness = DispatcherHarness()
-    harness.selector._cold_admission.admits = lambda upstream, now: False
-    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
-    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
-    harness.sent()
-    harness.dispatcher.handle(packet(3000, SYN), 1.4)
-    assert harness.sent() == []
-
-
 def test_queued_openings_are_refused_when_the_process_ends():
     """Their callers reconnect at once, in place of a timeout after 1.4 s."""
     harness = DispatcherHarness(names=("a",), flow_limit=1)
--- /dev/null
+++ b/tests/test_open_flows.py
@@ -0,0 +1,157 @@
+"""Open flows of upstreams that are gone, at one dispatcher without a network.
+
+Guards against callers that wait for an upstream that is gone, flows of a live upstream
+that are reset, and requests that run twice.
+"""
+
+from __future__ import annotations
+
+from dispatcher_harness import DispatcherHarness, packet, reset_callers
+
+from egrethook.discovery.records import ItemKind
+from egrethook.emulator.flow_records import route_table, upstream_record
+from egrethook.platform.packet_header import ACK, HEADER, SYN
+
+
+def flow_request(harness, port, name, now, sequence=1, ack=1):
+    """Send a request, or a retransmission of it, on an open flow."""
+    harness.advance(now)
+    echo = harness.upstream(name).token
+    data = packet(port, ACK, echo=echo, ack=ack, sequence=sequence, data=bytes(10))
+    harness.dispatcher.handle(data, now)
+
+
+def flow_answered(harness, port, name, now, ack):
+    harness.advance(now)
+    echo = harness.upstream(name).token
+    harness.dispatcher.handle(packet(port, ACK, echo=echo, ack=ack, sequence=11), now)
+
+
+def leave_openings_unanswered(harness, now):
+    """Two openings to "a" get no answer, which ejects it."""
+    for port in (3000, 3001):
+        harness.dispatcher.handle(packet(port, SYN), now)
+    harness.advance(now + 0.1)
+    assert harness.upstream("a").ejected
+    harness.sent()
+
+
+def harness_with_open_flows(idempotent=True):
+    """Flows 2000 and 2001 are open at "a"; both have had their first answer."""
+    harness = DispatcherHarness(names=("a",))
+    harness.now = -5.0
+    harness.advance(0.0)
+    table = route_table(version=2, idempotent=idempotent)
+    harness.put(ItemKind.ROUTES, "", table)
+    for port in (2000, 2001):
+        flow_request(harness, port, "a", 0.02)
+        flow_answered(harness, port, "a", 0.05, ack=100)
+        harness.sent()
+    return harness
+
+
+def test_flows_of_a_gone_upstream_are_reset_so_that_callers_open_others():
+    harness = harness_with_open_flows()
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    leave_openings_unanswered(harness, 1.0)
+    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
+    assert reset_callers(harness) == []
+    flow_request(harness, 2000, "a", 1.6, sequence=11, ack=100)
+    assert reset_callers(harness) == [2000]
+    header = HEADER.unpack(harness.port.to_callers[0][1])
+    assert header[5] == 100, "the sequence number that the caller expects"
+    harness.advance(2.2)
+    assert reset_callers(harness) == [2000, 2001]
+
+
+def test_request_that_must_not_run_twice_is_not_reset():
+    harness = harness_with_open_flows(idempotent=False)
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    leave_openings_unanswered(harness, 1.0)
+    for now in (1.2, 1.6, 2.4, 4.0):
+        flow_request(harness, 2000, "a", now, sequence=11, ack=100)
+        harness.advance(now + 0.01)
+    harness.advance(8.0)
+    assert reset_callers(harness) == [2001], "only the flow without a request"
+
+
+def test_flows_of_an_upstream_that_refuses_only_new_flows_stay():
+    harness = harness_with_open_flows()
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    leave_openings_unanswered(harness, 1.0)
+    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
+    flow_answered(harness, 2000, "a", 1.3, ack=200)
+    flow_request(harness, 2000, "a", 1.9, sequence=21, ack=200)
+    harness.advance(2.2)
+    assert reset_callers(harness) == []
+
+
+def test_flows_of_a_slow_upstream_that_answers_openings_stay():
+    harness = harness_with_open_flows()
+    for now in (1.0, 1.2, 1.6, 2.4):
+        flow_request(harness, 2000, "a", now, sequence=11, ack=100)
+    harness.advance(2.6)
+    assert reset_callers(harness) == []
+
+
+def test_no_upstream_is_gone_just_after_an_interruption():
+    """After a pause, packets that were queued meanwhile look like a silence."""
+    harness = harness_with_open_flows()
+    harness.now = 0.9
+    harness.dispatcher.tick(0.9)
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    leave_openings_unanswered(harness, 1.0)
+    for now in (1.2, 1.6, 2.4):
+        flow_request(harness, 2000, "a", now, sequence=11, ack=100)
+    assert reset_callers(harness) == []
+    flow_request(harness, 2000, "a", 4.0, sequence=11, ack=100)
+    assert reset_callers(harness) == [2000]
+
+
+def test_copies_of_a_request_that_were_queued_together_are_no_retransmission():
+    harness = harness_with_open_flows()
+    leave_openings_unanswered(harness, 0.9)
+    for _ in range(3):
+        flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    harness.advance(2.0)
+    assert reset_callers(harness) == []
+
+
+def test_flows_of_a_domain_that_was_taken_out_are_reset_when_it_is_cut_off():
+    """Without openings, only requests on open flows show that an upstream is gone."""
+    harness = harness_with_open_flows()
+    harness.put(ItemKind.DOMAIN_OUT, "zone-a", upstream_record("any", "zone-a"))
+    for now in (1.0, 1.2, 1.6):
+        flow_request(harness, 2000, "a", now, sequence=11, ack=100)
+    harness.advance(2.0)
+    assert reset_callers(harness) == []
+    harness.advance(2.8)
+    assert reset_callers(harness) == [2000, 2001]
+
+
+def test_opening_shows_whether_an_upstream_that_stalls_is_alive():
+    """Its stalled requests make it look busy, so it would get no openings at all."""
+    harness = DispatcherHarness(flow_limit=1)
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
+    harness.sent()
+    harness.dispatcher.handle(packet(3000, SYN), 1.25)
+    assert harness.sent() == ["b"]
+    harness.dispatcher.handle(packet(3001, SYN), 1.35)
+    assert harness.sent() == ["a"]
+    echo = harness.upstream("a").token
+    harness.dispatcher.handle(packet(3001, ACK, echo=echo), 1.36)
+    harness.sent()
+    flow_request(harness, 2000, "a", 1.8, sequence=11, ack=100)
+    harness.advance(2.5)
+    assert reset_callers(harness) == [], "it is alive"
+
+
+def test_cold_upstream_that_stalls_gets_no_openings_beyond_its_limit():
+    harness = DispatcherHarness()
+    harness.selector._cold_admission.admits = lambda upstream, now: False
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
+    harness.sent()
+    harness.dispatcher.handle(packet(3000, SYN), 1.4)
+    assert harness.sent() == []
