--- a/egrethook/forwarder_metrics.py
+++ b/egrethook/forwarder_metrics.py
@@ -59,7 +59,9 @@
             ("waited", "Openings that waited for room.", counts.waited),
         ):
             yield CounterMetricFamily(f"egrethook_flow_{name}", text, value=value)
-        yield _by_reason("resets", "Openings refused by reason.", counts.reset)
+        yield _by_reason(
+            "resets", "Openings refused and open flows reset, by reason.", counts.reset
+        )
         yield _by_reason("dropped", "Packets dropped by reason.", counts.dropped)
         yield GaugeMetricFamily(
             "egrethook_flows",
