--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -328,11 +328,13 @@
         except (OSError, TimeoutError):
             return False
 
-    async def stop(self) -> None:
+    async def stop(self, supervision: asyncio.Task) -> None:
+        """End the process, also one that is being started, and its supervision."""
         self._stopping = True
-        if self.process is not None and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
+        while not supervision.done():
+            if self.process is not None and self.process.returncode is None:
+                self.process.kill()
+            await asyncio.sleep(0.05)
 
 
 class Client(asyncio.DatagramProtocol):
@@ -473,6 +475,7 @@
         self.sent = self.answered = 0
         self.outcomes: list[tuple[float, str]] = []
         self._tasks: list[asyncio.Task] = []
+        self._supervisions: list[asyncio.Task] = []
 
     # The platform ----------------------------------------------------------------
 
@@ -564,11 +567,13 @@
         for client in self.clients:
             await client.start()
         for node in self.nodes:
-            self.spawn(node.supervise())
+            self._supervisions.append(self.spawn(node.supervise()))
             self.spawn(node.probe())
 
-    def spawn(self, work) -> None:
-        self._tasks.append(asyncio.ensure_future(work))
+    def spawn(self, work) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self._tasks.append(task)
+        return task
 
     async def traffic(self, client: Client, per_s: float) -> None:
         """Send requests until cancelled."""
@@ -588,8 +593,8 @@
         return span.count("answered"), len(span)
 
     async def stop(self) -> None:
-        for node in self.nodes:
-            await node.stop()
+        for node, supervision in zip(self.nodes, self._supervisions, strict=False):
+            await node.stop(supervision)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
