--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -240,7 +240,7 @@
         if flags & SYN:
             self.openings += 1
             if flow is None:
-                flow = {"seq": random.getrandbits(31), "sent": 0, "done": set()}
+                flow = {"seq": random.getrandbits(31), "sent": 0, "answers": {}}
                 self._flows[key] = flow
                 client = socket.inet_ntoa(src.to_bytes(4, "big"))
                 self._world.record.write(
@@ -254,19 +254,26 @@
             self._flows.pop(key, None)
             if flags & FIN:
                 reply(FIN | ACK)
-        elif length and seq not in flow["done"]:
-            flow["done"].add(seq)
+        elif length and seq not in flow["answers"]:
+            flow["answers"][seq] = None
             body = packet[HEADER.size :]
-            asyncio.ensure_future(self._run(body, reply, seq + length))
-
-    async def _run(self, body: bytes, reply, acked: int) -> None:
+            asyncio.ensure_future(self._run(body, flow, seq, reply))
+        elif length and (answer := flow["answers"][seq]) is not None:
+            # The client has not got the answer: send it again.
+            flow["sent"] -= len(answer)
+            reply(ACK, answer, seq + length)
+
+    async def _run(self, body: bytes, flow: dict, seq: int, reply) -> None:
+        """Run a request once and answer it."""
         async with self._slots:
             if not self.alive:
                 return
             request_id = body.split(b" ")[0].decode()
             self._world.note_run(request_id, self)
             await asyncio.sleep(0.022)
-            reply(ACK, b"200 " + body.split(b" ")[0] + b" " + self.id.encode(), acked)
+            answer = b"200 " + body.split(b" ")[0] + b" " + self.id.encode()
+            flow["answers"][seq] = answer
+            reply(ACK, answer, seq + len(body))
 
 
 class Node:
