Turn each error of a decoder into the coded one

Cause: decoders caught only the errors that msgspec documents. For deep nesting it raises RecursionError, which left the reader's task, or the startup loop, and ended the process. Ruled out as further places, by trials with nested bytes: gossip and the thrift codecs (they refuse nesting by themselves), published documents and YAML.

--- a/egrethook/forwarder_settings.py
+++ b/egrethook/forwarder_settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from egrethook.addresses import Address
+from egrethook.decoding import DECODING_ERRORS
 from egrethook.exceptions import SettingsError
 from egrethook.logs import PartLog
 
@@ -90,7 +91,7 @@
         if text.lstrip().startswith(b"{"):
             return _JSON_DECODER.decode(text)
         return msgspec.yaml.decode(text, type=ForwarderSettings)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise SettingsError(f"{path}: {error}") from None
 
 
--- a/egrethook/operators/explain.py
+++ b/egrethook/operators/explain.py
@@ -62,7 +62,7 @@
                 str(fields.pop("message")),
                 fields,
             )
-        except (ValueError, KeyError, TypeError, AttributeError):
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
             # The line is truncated or comes from another program.
             continue
 
--- a/egrethook/platform/bench_journal.py
+++ b/egrethook/platform/bench_journal.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from egrethook.decoding import decode_json
 from egrethook.exceptions import DocumentError
 from egrethook.operators.played_days import BenchDay
 
@@ -57,9 +58,9 @@
     """
     for path in sorted(folder.glob("*.json")):
         try:
-            entry = _ENTRY_DECODER.decode(path.read_bytes())
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise DocumentError(f"{path.name}: {error}") from None
+            entry = decode_json(_ENTRY_DECODER, path.read_bytes())
+        except DocumentError as error:
+            raise DocumentError(f"{path.name}: {error.args[0]}") from None
         for day in entry.days or []:
             if day.worth is None or entry.site is None:
                 continue
--- a/egrethook/platform/store_messages.py
+++ b/egrethook/platform/store_messages.py
@@ -8,10 +8,10 @@
 
 from binascii import Error as Base64Error
 from binascii import a2b_base64
-from typing import Any
 
 import msgspec
 
+from egrethook.decoding import decode_json
 from egrethook.discovery.records import (
     ColdLimit,
     ItemKind,
@@ -171,7 +171,7 @@
         DocumentError
             If a field is missing or invalid, or the name has no instance number.
         """
-        entry: _Server = _decode(_SERVER_DECODER, value)
+        entry: _Server = decode_json(_SERVER_DECODER, value)
         digits = "".join(
             char for char in name.rpartition("-")[2] if char in _HEX_DIGITS
         )
@@ -202,7 +202,7 @@
         DocumentError
             If the configuration is not valid.
         """
-        config: _Config = _decode(_CONFIG_DECODER, value)
+        config: _Config = decode_json(_CONFIG_DECODER, value)
         return RouteTable(
             version=config.version,
             routes=tuple(_route(entry) for entry in config.routes),
@@ -213,13 +213,6 @@
         )
 
 
-def _decode(decoder: msgspec.json.Decoder[Any], value: bytes) -> Any:
-    try:
-        return decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise DocumentError(str(error)) from None
-
-
 def _route(entry: _RouteEntry) -> Route:
     shares = [WeightedService(part.service, part.weight) for part in entry.split]
     if entry.service is not None:
--- a/egrethook/platform/store_reading.py
+++ b/egrethook/platform/store_reading.py
@@ -6,9 +6,14 @@
 
 import msgspec
 
+from egrethook.decoding import decode_json
 from egrethook.discovery.http_exchange import HttpResponse
 from egrethook.discovery.records import Changes, PublishedItem, Snapshot
-from egrethook.exceptions import HistoryLostError, SourceUnavailableError
+from egrethook.exceptions import (
+    DocumentError,
+    HistoryLostError,
+    SourceUnavailableError,
+)
 from egrethook.platform.store_messages import (
     Event,
     RangeBody,
@@ -112,8 +117,8 @@
             f"the store answered with HTTP status {response.status}"
         )
     try:
-        return decoder.decode(response.body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(decoder, response.body)
+    except DocumentError as error:
         raise SourceUnavailableError(
-            f"invalid response from the store: {error}"
+            f"invalid response from the store: {error.args[0]}"
         ) from None
