Check the address of an entry, and drop what can't be sent

Cause: sendto raises OverflowError for such a port, and TypeError or ValueError for some hosts; DatagramSocket.send handled OSError only, and three places checked addresses in three ways. Ruled out: the missing fields, which an entry of all fields with such a port does without.

Change: Address.parse_ipv4 is the one check, for entries and settings (a port above 65,535 in known_peers ended the process on a reload); send drops and counts what can't be sent. A host name in an entry is refused too, since its look-up would block.

--- a/egrethook/datagrams.py
+++ b/egrethook/datagrams.py
@@ -24,6 +24,13 @@
 """Requested size of the kernel's send and receive buffers, in bytes."""
 
 
+_SEND_ERRORS = (OSError, OverflowError, ValueError, TypeError)
+"""What `sendto` raises if the kernel refuses a datagram or an address is not valid.
+
+A port out of range raises `OverflowError`, a malformed host one of the last two.
+"""
+
+
 class DatagramSocket:
     """Owns a bound UDP socket.
 
@@ -53,10 +60,10 @@
         return self._dropped
 
     def send(self, address: tuple[str, int], data: bytes) -> None:
-        """Send a datagram; it is dropped and counted if the kernel refuses it."""
+        """Send a datagram; it is dropped and counted if that fails."""
         try:
             self._socket.sendto(data, address)
-        except OSError:
+        except _SEND_ERRORS:
             self._dropped += 1
 
     def fileno(self) -> int:
--- a/egrethook/forwarder_settings.py
+++ b/egrethook/forwarder_settings.py
@@ -57,6 +57,23 @@
         _described("time to keep forwarding after a leave request, in seconds", ge=0),
     ] = 1.3
 
+    def __post_init__(self) -> None:
+        """Check what the patterns of the addresses leave open, such as their ports.
+
+        Raises
+        ------
+        ValueError
+            If an address is not valid; the decoder adds the key.
+        """
+        for text in (
+            self.packets,
+            self.peers,
+            self.probes,
+            self.registry,
+            *self.known_peers,
+        ):
+            Address.parse_ipv4(text)
+
     @property
     def seeds(self) -> list[Address]:
         """The addresses of `known_peers`."""
--- a/egrethook/platform/store_messages.py
+++ b/egrethook/platform/store_messages.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from egrethook.addresses import Address
 from egrethook.decoding import decode_json
 from egrethook.discovery.records import (
     ColdLimit,
@@ -175,18 +176,21 @@
         digits = "".join(
             char for char in name.rpartition("-")[2] if char in _HEX_DIGITS
         )
-        host, _, port = entry.address.rpartition(":")
         phase = _PHASES.get(entry.state)
-        if phase is None or not host or not port.isdigit() or not digits:
+        if phase is None or not digits:
             raise DocumentError(
-                f"upstream {name}: expected state ready or draining, address host:port"
-                f" and a hexadecimal id; got {entry.state!r}, {entry.address!r}"
+                f"upstream {name}: expected state ready or draining and a hexadecimal"
+                f" id; got {entry.state[:80]!r}"
             )
+        try:
+            address = Address.parse_ipv4(entry.address)
+        except ValueError as error:
+            raise DocumentError(f"upstream {name}: {error}") from None
         return UpstreamRecord(
             name=name,
             instance=int(digits, 16) & 0xFFFF_FFFF_FFFF_FFFF,
             service=entry.service,
-            address=(host, int(port)),
+            address=address,
             failure_domain=entry.zone,
             phase=phase,
             slots=entry.concurrency,
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from egrethook.addresses import Address
+from egrethook.datagrams import DatagramSocket
 from egrethook.discovery.http_exchange import HttpResponse
 from egrethook.discovery.records import ItemKind, PublishedItem
 from egrethook.discovery.view import ForwardingView
@@ -126,3 +128,70 @@
     changes = read_watch(HttpResponse(200, json.dumps(body).encode()), after=6)
     assert [item.name for item in changes.items] == ["i-0a", "i-0b"]
     assert changes.revision == 8
+
+
+BAD_ADDRESSES = [
+    "10.0.0.9:80800",
+    "10.0.0.9:0",
+    "10.0.0.9:-1",
+    "10.0.0.9:\u00b2",
+    "10.0.0.9:\u0668\u0660",
+    "10.0.0.9:" + "9" * 5_000,
+    "10.0.0.9: 80",
+    "10.0.0.9",
+    ":8080",
+    "",
+    "10.0.0.900:8080",
+    "10.9:8080",
+    "::1:8080",
+    "some.host:8080",
+    "\u0000:8080",
+    "h\u00f6st:8080",
+    "x" * 70 + ":8080",
+]
+
+
+@pytest.mark.parametrize("address", BAD_ADDRESSES, ids=lambda text: ascii(text)[:20])
+def test_entry_with_an_invalid_address_names_no_upstream(address):
+    """Guards against an address that ends the process when an opening is sent there.
+
+    Also against host names, whose look-up would block the process.
+    """
+    with pytest.raises(DocumentError):
+        StoreDecoder().upstream("i-0b", entry(address=address))
+
+
+@pytest.mark.parametrize("address", BAD_ADDRESSES, ids=lambda text: ascii(text)[:20])
+def test_settings_with_an_invalid_address_raise_the_coded_error(tmp_path, address):
+    """Guards against ValueError, which ended the process when a file was reloaded."""
+    settings = {
+        "name": "edge-1",
+        "failure_domain": "zone-a",
+        "packets": "10.0.0.1:8172",
+        "peers": "10.0.0.1:8166",
+        "probes": "10.0.0.1:8167",
+        "registry": "10.200.1.7:8169",
+        "known_peers": ["10.2.0.40:8166", address],
+    }
+    path = tmp_path / "node"
+    path.write_text(json.dumps(settings))
+    with pytest.raises(SettingsError, match="known_peers|invalid address"):
+        load_forwarder_settings(str(path))
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        ("127.0.0.1", 99_999),
+        ("127.0.0.1", -1),
+        ("\0", 80),
+        ("127.0.0.1", 0),
+        ("::1", 8),
+    ],
+    ids=str,
+)
+def test_datagram_to_an_invalid_address_is_dropped_and_counted(address):
+    """Guards against OverflowError out of `sendto`, which ended the process."""
+    with DatagramSocket(Address("127.0.0.1", 0)) as socket:
+        socket.send(address, b"packet")
+        assert socket.dropped == 1
