Survive an unexpected error in one step of a loop

Change: ErrorBoundary logs (an alarm with the step, the error and where it was raised), counts (metric egrethook_unexpected_errors) and lets the loop go on. A step that runs within an import no longer runs again in it. The admin API's revision parameter is checked (a digit of another script gave status 500).

The tests fail if a loop survives an error that the test doesn't expect, so that the boundary can't hide a fault from them.

--- a/egrethook/balancer.py
+++ b/egrethook/balancer.py
@@ -26,6 +26,7 @@
 from egrethook.callers.packets import Grant, Open, Run
 from egrethook.callers.tokens import Token
 from egrethook.clock import Clock, MonotonicClock, PauseDetector
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import BadMessageError, TokenError
 from egrethook.logs import PartLog
 from egrethook.metrics import Metrics
@@ -82,6 +83,7 @@
         self._refresh_done: anyio.Event | None = None
         self._leave_requested = anyio.Event()
         self._reconciled_version: tuple[int, int] = (-1, -1)
+        self._housekeeping_errors = ErrorBoundary(_LOG, "housekeeping")
         self._task_group: TaskGroup | None = None
 
     async def __aenter__(self) -> Self:
@@ -305,15 +307,20 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_S)
             await self.refresh_after_pause()
-            now = self._clock.now()
-            self._executor.tick()
-            self._send_suspicions(self._membership.suspect_silent(now))
-            for unacknowledged in self._hub.resend_due_relays():
-                self._relay_failed(unacknowledged)
-            self._hub.announce(
-                urgent=self._membership.leaving or bool(self._executor.rights.inherited)
-            )
-            self._reconcile()
+            with self._housekeeping_errors:
+                self._executor.tick()
+            with self._housekeeping_errors:
+                self._check_members()
+            with self._housekeeping_errors:
+                self._reconcile()
+
+    def _check_members(self) -> None:
+        self._send_suspicions(self._membership.suspect_silent(self._clock.now()))
+        for unacknowledged in self._hub.resend_due_relays():
+            self._relay_failed(unacknowledged)
+        self._hub.announce(
+            urgent=self._membership.leaving or bool(self._executor.rights.inherited)
+        )
 
     def _send_suspicions(self, names: list[str]) -> None:
         """Send new suspicions to the failure domain ahead of the next heartbeat."""
--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -24,6 +24,7 @@
 from egrethook.discovery.catalog import item_size
 from egrethook.discovery.records import Changes, PublishedItem
 from egrethook.discovery.replica import Replica
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import BadMessageError
 from egrethook.logs import PartLog
 from egrethook.token_bucket import TokenBucket
@@ -103,6 +104,8 @@
         self._last_request_at = float("-inf")
         self._bytes_sent = 0
         self._refused = 0
+        self._round_errors = ErrorBoundary(_LOG, "round of digests")
+        self._message_errors = ErrorBoundary(_LOG, "message")
 
     @property
     def bytes_sent(self) -> int:
@@ -121,19 +124,24 @@
     async def send_digests(self) -> None:
         """Send a round of digests every gossip interval until cancelled."""
         while True:
-            now = self._clock.now()
-            self._members.next_heartbeat(self._leaving)
-            self._members.remove_expired(now)
-            self._send(self._digest(now), self._members.gossip_targets(now))
+            with self._round_errors:
+                self._send_round()
             await anyio.sleep(GOSSIP_INTERVAL_S * self._rng.uniform(0.8, 1.2))
 
+    def _send_round(self) -> None:
+        now = self._clock.now()
+        self._members.next_heartbeat(self._leaving)
+        self._members.remove_expired(now)
+        self._send(self._digest(now), self._members.gossip_targets(now))
+
     async def receive(self) -> None:
         """Receive and handle messages until cancelled."""
         while True:
             batch = await self._socket.receive()
             await self._detect_pause()
             for datagram, source in batch:
-                self._handle(datagram, Address(*source))
+                with self._message_errors:
+                    self._handle(datagram, Address(*source))
 
     def propagate(self, items: Sequence[PublishedItem], previous_revision: int) -> None:
         """Push changes that have just been merged.
--- a/egrethook/balancers/hub.py
+++ b/egrethook/balancers/hub.py
@@ -13,13 +13,17 @@
 from egrethook.balancers.peer_packets import Heartbeat, Relay, RelayAck
 from egrethook.balancers.relays import PendingRelay, RelayTable
 from egrethook.clock import Clock
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import BadMessageError
+from egrethook.logs import PartLog
 from egrethook.metrics import Metrics
 from egrethook.network import Datagrams
 
 ANNOUNCE_INTERVAL_S = 2.0
 """Minimum interval between announcements to all members, in seconds."""
 
+_LOG = PartLog("peers")
+
 
 class PeerHub:
     """Sends and receives messages between balancers.
@@ -56,6 +60,7 @@
         self._clock = clock
         self._heartbeat = heartbeat
         self._relays = RelayTable()
+        self._message_errors = ErrorBoundary(_LOG, "message")
         self._announced_at = 0.0
         self._handlers: dict[type, Callable[[Any, str], None]] = {
             Heartbeat: self._on_heartbeat,
@@ -104,7 +109,8 @@
                     continue
                 handler = self._handlers.get(type(message))
                 if handler is not None:
-                    handler(message, f"{host}:{port}")
+                    with self._message_errors:
+                        handler(message, f"{host}:{port}")
 
     async def send_heartbeats(self, name: str) -> None:
         """Send heartbeats to a neighbour until cancelled."""
--- a/egrethook/callers/front.py
+++ b/egrethook/callers/front.py
@@ -21,7 +21,9 @@
 )
 from egrethook.callers.routing import Action, route_flow
 from egrethook.callers.tokens import Token
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import BadMessageError, TokenError
+from egrethook.logs import PartLog
 from egrethook.metrics import Metrics
 from egrethook.network import Datagrams
 from egrethook.published.configuration import Configuration
@@ -29,6 +31,8 @@
 from egrethook.upstreams.interfaces import ConfigurationSource
 from egrethook.wire.callers.ttypes import FlowHead
 
+_LOG = PartLog("front")
+
 
 class OwnerPlacement(Protocol):
     """Sends packets to the owners of upstreams.
@@ -110,6 +114,7 @@
         self._metrics = metrics
         self._tracer = tracer
         self._refresh_after_pause = refresh_after_pause
+        self._packet_errors = ErrorBoundary(_LOG, "packet")
         self._counters = {
             kind: metrics.packets.labels(kind=kind.__name__.lower())
             for kind in (Open, Grant, Run, Fetch, Done, Cancel)
@@ -153,6 +158,9 @@
             self._drop("malformed")
         except TokenError:
             self._drop("token")
+        except Exception as error:
+            self._drop("unexpected-error")
+            self._packet_errors.note(error)
 
     def _drop(self, reason: str) -> None:
         self._metrics.dropped.labels(reason=reason).inc()
--- a/egrethook/discovery/follower.py
+++ b/egrethook/discovery/follower.py
@@ -10,6 +10,7 @@
 from egrethook.clock import Clock
 from egrethook.discovery.records import RecordSource
 from egrethook.discovery.replica import Replica
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import HistoryLostError, SourceUnavailableError
 from egrethook.logs import PartLog
 
@@ -64,6 +65,7 @@
         self._reachable: bool | None = None
         self._needs_snapshot = False
         self._consecutive_failures = 0
+        self._read_errors = ErrorBoundary(_LOG, "registry read")
 
     async def run(self) -> None:
         """Follow the registry until cancelled."""
@@ -81,7 +83,12 @@
                     )
                     self._needs_snapshot = True
                 except SourceUnavailableError as error:
-                    self._record_failure(error)
+                    self._record_failure(error.args[0])
+                    await anyio.sleep(self._backoff_s())
+                except Exception as error:
+                    self._read_errors.note(error)
+                    self._record_failure(type(error).__name__)
+                    self._needs_snapshot = True
                     await anyio.sleep(self._backoff_s())
                 else:
                     self._record_success()
@@ -115,13 +122,13 @@
         )
         return backoff_s * self._rng.uniform(0.6, 1.0)
 
-    def _record_failure(self, error: SourceUnavailableError) -> None:
+    def _record_failure(self, reason: str) -> None:
         self._consecutive_failures += 1
         if self._reachable is not False:
             self._reachable = False
             _LOG.warning(
                 "registry unreachable; retrying with backoff.",
-                error=error.args[0],
+                error=reason,
                 revision=self._replica.revision,
             )
 
--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -12,6 +12,7 @@
     Route,
     RouteTable,
 )
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import DocumentError
 from egrethook.logs import PartLog
 from egrethook.upstreams.roster import UpstreamIndex
@@ -42,6 +43,7 @@
         self._candidates_version = (0, 0)
         self._updates = 0
         self._logs_upstreams = False
+        self._item_errors = ErrorBoundary(_LOG, "published item")
 
     @property
     def revision(self) -> int:
@@ -87,6 +89,10 @@
                     revision=item.revision,
                     error=str(error),
                 )
+            except Exception as error:
+                self._item_errors.note(
+                    error, kind=item.kind.name, item=item.name, revision=item.revision
+                )
         if not self._logs_upstreams and len(self._upstreams):
             self._log_first_upstreams()
 
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarder.py
@@ -19,6 +19,7 @@
 from egrethook.discovery.records import ColdLimit, PublishedItem, RecordDecoder
 from egrethook.discovery.replica import Replica
 from egrethook.discovery.view import ForwardingView
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.forwarder_settings import ForwarderSettings
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
@@ -125,6 +126,10 @@
             self._flow_limit,
             self._health,
         )
+        self._packet_errors = ErrorBoundary(_LOG, "packet")
+        self._due_work_errors = ErrorBoundary(_LOG, "due work")
+        self._listener_errors = ErrorBoundary(_LOG, "change listener")
+        self._housekeeping_errors = ErrorBoundary(_LOG, "housekeeping")
         self._first_flow_logged = False
         self._leave_requested = False
 
@@ -193,13 +198,17 @@
             now = self._clock.now()
             handle = self._dispatcher.handle
             for datagram, _ in batch:
-                handle(datagram, now)
+                try:
+                    handle(datagram, now)
+                except Exception as error:
+                    self._packet_errors.note(error)
             if batch and not self._first_flow_logged:
                 self._log_first_flow()
             # A batch below `RECEIVE_BATCH_SIZE` means that the socket is empty.
             if len(batch) < 64:
                 break
-        self._dispatcher.tick(self._clock.now())
+        with self._due_work_errors:
+            self._dispatcher.tick(self._clock.now())
 
     def finish_leave(self) -> None:
         """Handle what has arrived, and refuse what would be lost with the process."""
@@ -245,8 +254,10 @@
     def housekeep(self) -> None:
         """Drop expired upstreams, and check whether the view is still fresh."""
         now = self._clock.now()
-        self._view.upstreams.expire(now)
-        self._update_view_trust(now)
+        with self._housekeeping_errors:
+            self._view.upstreams.expire(now)
+        with self._housekeeping_errors:
+            self._update_view_trust(now)
 
     def add_change_listener(self, listener: ChangeListener) -> None:
         """Add a listener for changes of the replica."""
@@ -257,9 +268,11 @@
     ) -> None:
         now = self._clock.now()
         self._view.update(items, now)
-        self._update_view_trust(now)
+        with self._listener_errors:
+            self._update_view_trust(now)
         for listener in self._listeners:
-            listener(items, previous_revision)
+            with self._listener_errors:
+                listener(items, previous_revision)
 
     def _log_first_flow(self) -> None:
         if self._dispatcher.known_flows:
--- a/egrethook/forwarder_metrics.py
+++ b/egrethook/forwarder_metrics.py
@@ -22,6 +22,7 @@
     "gossip_bytes": "Bytes sent to other balancers.",
     "gossip_refused": "Datagrams from other balancers that were refused.",
     "log_lines_left_out": "Log lines that were not written.",
+    "unexpected_errors": "Steps of a loop that an unexpected error ended.",
     "pauses": "Times that this process was suspended.",
 }
 
--- a/egrethook/forwarder_start.py
+++ b/egrethook/forwarder_start.py
@@ -21,6 +21,7 @@
     request_bytes,
 )
 from egrethook.discovery.records import Snapshot
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import HistoryLostError, SourceUnavailableError
 from egrethook.forwarder import Forwarder
 from egrethook.interleaving import ImportInterleaver
@@ -103,6 +104,7 @@
         self._registry = Address.parse(forwarder.settings.registry)
         self._registry_read: _RegistryRead | None = None
         self._retry_at = 0.0
+        self._read_errors = ErrorBoundary(_LOG, "first registry read")
         self._probes = EarlyProbes(
             Address.parse(forwarder.settings.probes), self._is_ready
         )
@@ -173,7 +175,13 @@
         if self._registry_read is not None:
             self._abandon_read(f"no progress within {RESPONSE_PROGRESS_TIMEOUT_S} s")
             return
-        self._registry_read = _RegistryRead(self._registry, self._new_reading(), now)
+        try:
+            self._registry_read = _RegistryRead(
+                self._registry, self._new_reading(), now
+            )
+        except OSError as error:
+            # No file descriptor or no route; the event loop's reader tries again too.
+            self._abandon_read(str(error))
 
     def _continue_read(self) -> None:
         assert self._registry_read is not None
@@ -182,6 +190,10 @@
         except (OSError, SourceUnavailableError, HistoryLostError) as error:
             self._abandon_read(str(error))
             return
+        except Exception as error:
+            self._read_errors.note(error)
+            self._abandon_read(type(error).__name__)
+            return
         if snapshot is None:
             return
         self._registry_read.close()
@@ -189,9 +201,9 @@
         self._forwarder.replica.apply_snapshot(snapshot, self._clock.now())
 
     def _abandon_read(self, reason: str) -> None:
-        assert self._registry_read is not None
-        self._registry_read.close()
-        self._registry_read = None
+        if self._registry_read is not None:
+            self._registry_read.close()
+            self._registry_read = None
         self._retry_at = self._clock.now() + READ_RETRY_DELAY_S
         _LOG.warning("first registry read failed.", reason=reason)
 
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -16,6 +16,7 @@
 from egrethook.datagrams import DatagramSocket
 from egrethook.discovery.follower import RegistryFollower
 from egrethook.discovery.records import RecordSource
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.forwarder import Forwarder
 from egrethook.forwarder_settings import SettingsFile
 from egrethook.interleaving import ImportInterleaver
@@ -105,6 +106,7 @@
             source, forwarder.replica, self._should_read_registry, self._clock, rng
         )
         self._suspension_detector = SuspensionDetector()
+        self._reload_errors = ErrorBoundary(_LOG, "settings reload")
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave.
@@ -153,12 +155,13 @@
                 self._reload()
 
     def _reload(self) -> None:
-        settings = self._settings_file.reload()
-        if settings is None:
-            return
-        self._settings = settings
-        self._members.set_seeds(settings.seeds)
-        self._forwarder.apply_settings(settings)
+        with self._reload_errors:
+            settings = self._settings_file.reload()
+            if settings is None:
+                return
+            self._members.set_seeds(settings.seeds)
+            self._forwarder.apply_settings(settings)
+            self._settings = settings
 
     def _should_read_registry(self) -> bool:
         now = self._clock.now()
@@ -206,6 +209,7 @@
             "gossip_refused": self._gossip.refused,
             "log_lines_left_out": self._log.left_out,
             "pauses": self._suspension_detector.count,
+            "unexpected_errors": ErrorBoundary.total(),
         }
 
     # Packets and time ------------------------------------------------------------
--- a/egrethook/interleaving.py
+++ b/egrethook/interleaving.py
@@ -22,19 +22,29 @@
     Parameters
     ----------
     step : callable
-        The function, which must not import anything.
+        The function. It should import nothing; the time of such an import is not
+        interleaved.
     """
 
     def __init__(self, step: Callable[[], None]) -> None:
         self._step = step
         self._last_step_at = time.monotonic()
+        self._in_step = False
 
     def find_spec(self, name: str, path: object = None, target: object = None) -> None:
-        """Run the step, unless the last one was less than `STEP_INTERVAL_S` ago."""
+        """Run the step, unless the last one was less than `STEP_INTERVAL_S` ago.
+
+        Does nothing for an import within a step.
+        """
         now = time.monotonic()
-        if now - self._last_step_at >= STEP_INTERVAL_S:
+        if self._in_step or now - self._last_step_at < STEP_INTERVAL_S:
+            return
+        self._in_step = True
+        try:
             self._step()
-            self._last_step_at = time.monotonic()
+        finally:
+            self._in_step = False
+        self._last_step_at = time.monotonic()
 
     def __enter__(self) -> Self:
         sys.meta_path.insert(0, self)
--- a/egrethook/operators/admin.py
+++ b/egrethook/operators/admin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+import re
 
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -15,6 +16,9 @@
 
 JSON_MEDIA_TYPE = "application/json"
 
+_REVISION = re.compile("[0-9]{1,19}")
+"""Text of a revision, a 64-bit number."""
+
 
 class AdminApi:
     """Serves status pages, published values and the request to leave the fleet.
@@ -84,7 +88,7 @@
         if raw is None:
             return _error("E102", "no configuration yet", 404)
         after = request.query_params.get("after", "0")
-        if after.isdigit() and store.revision <= int(after):
+        if _REVISION.fullmatch(after) and store.revision <= int(after):
             return Response(status_code=304)
         return Response(raw, media_type=JSON_MEDIA_TYPE)
 
--- a/egrethook/published/reader.py
+++ b/egrethook/published/reader.py
@@ -8,6 +8,7 @@
 import anyio
 import httpx
 
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import DocumentError
 from egrethook.logs import PartLog
 from egrethook.network import Network
@@ -85,6 +86,7 @@
         self._noted_revision = 0
         self._calls = 0
         self._failures = 0
+        self._read_errors = ErrorBoundary(_LOG, "configuration read")
         self._bytes = 0
         self._reachable = False
 
@@ -197,6 +199,10 @@
             reason = str(error) or type(error).__name__
             _LOG.warning("reading the configuration failed.", base=base, error=reason)
             return False
+        except Exception as error:
+            self._failures += 1
+            self._read_errors.note(error, base=base)
+            return False
         finally:
             if self._store.configuration is not before:
                 self._on_change()
--- a/egrethook/upstreams/link.py
+++ b/egrethook/upstreams/link.py
@@ -12,6 +12,7 @@
 
 from egrethook.callers.packets import Run
 from egrethook.clock import Clock
+from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import BadMessageError, LinkError
 from egrethook.logs import PartLog
 from egrethook.network import Network
@@ -114,6 +115,7 @@
         ](SEND_BUFFER_FRAMES)
         self._silence = SilenceDetector(clock.now())
         self._losses = 0
+        self._frame_errors = ErrorBoundary(_LOG, "frame")
         self._welcomed = False
         self._handlers: dict[type, Callable[[Any], None]] = {
             frames.Answer: self._on_answer,
@@ -246,7 +248,8 @@
             handler = self._handlers.get(type(message))
             if handler is None:
                 raise LinkError(f"unexpected message type {type(message).__name__}")
-            handler(message)
+            with self._frame_errors:
+                handler(message)
 
     async def _write(self, stream: ByteStream) -> None:
         while True:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 import pytest
 from hypothesis import settings
 
+from egrethook.error_boundary import ErrorBoundary
+
 sys.path.insert(0, str(Path(__file__).parent))
 
 # Makes results reproducible: examples are derived from the tests' source code, and
@@ -14,6 +16,16 @@
 settings.register_profile("fixed", derandomize=True, deadline=None)
 settings.load_profile("fixed")
 
+
+@pytest.fixture(autouse=True)
+def no_unexpected_errors(request):
+    """Fail a test in which a loop survived an error that nothing expected."""
+    before = ErrorBoundary.total()
+    yield
+    if request.node.get_closest_marker("expects_unexpected_errors") is None:
+        assert ErrorBoundary.total() == before
+
+
 KNOWN_FAILURES = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 
