Bound the numbers of an entry and the size of a record

Cause: fields and revisions had no range, and a value of any length was passed on. Ruled out: numbers of more than 64 bits in declared fields, which msgspec refuses.

Change: ranges in the border's structs; a value above 8,192 bytes is no record and is passed on as empty.

--- a/egrethook/platform/store_messages.py
+++ b/egrethook/platform/store_messages.py
@@ -8,6 +8,7 @@
 
 from binascii import Error as Base64Error
 from binascii import a2b_base64
+from typing import Annotated
 
 import msgspec
 
@@ -34,6 +35,21 @@
 EVACUATION_PREFIX = "op/evacuate/"
 """Prefix of the keys that each take one failure domain out of service."""
 
+RECORD_MAX_BYTES = 8_192
+"""Maximum size of an upstream's record, in bytes; a longer value is none.
+
+Its bytes are not kept: with up to a megabyte each they would not fit a gossip message.
+"""
+
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+"""A count that fits the 64 signed bits of gossip messages."""
+
+Slots = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+"""Number of requests that an upstream runs at once."""
+
+WarmupLeftMs = Annotated[float, msgspec.Meta(le=86_400_000)]
+"""Rest of a warm-up, in milliseconds; at most a day, and below 0 if it is over."""
+
 _IDEMPOTENT_TYPES = frozenset({"safe", "download"})
 """Types of routes whose requests are idempotent."""
 
@@ -46,7 +62,7 @@
     """An item of the store, or the deletion of one; `value` is base64."""
 
     key: str
-    revision: int
+    revision: Number
     value: str | None = None
     deleted: bool = False
 
@@ -59,7 +75,7 @@
     """
 
     items: list[Event]
-    current_rev: int
+    current_rev: Number
     has_more: bool = False
 
 
@@ -67,7 +83,7 @@
     """Response to ``GET /kv-watch``."""
 
     events: list[Event]
-    current_rev: int
+    current_rev: Number
 
 
 class _Server(msgspec.Struct, rename="camel"):
@@ -83,9 +99,9 @@
     address: str
     zone: str
     state: str
-    concurrency: int
-    born: int = 0
-    warmup_left_ms: float = 0.0
+    concurrency: Slots
+    born: Number = 0
+    warmup_left_ms: WarmupLeftMs = 0.0
 
 
 class _Split(msgspec.Struct):
@@ -126,7 +142,7 @@
 class _Config(msgspec.Struct, rename="camel"):
     """The operators' configuration, stored under `CONFIG_KEY`."""
 
-    version: int
+    version: Number
     routes: list[_RouteEntry]
     services: list[_Service]
 
@@ -145,7 +161,10 @@
         kind, name = ItemKind.DOMAIN_OUT, event.key[len(EVACUATION_PREFIX) :]
     else:
         return None
-    return PublishedItem(kind, name, event.revision, _value(event))
+    value = _value(event)
+    if kind is not ItemKind.ROUTES and value and len(value) > RECORD_MAX_BYTES:
+        value = b""
+    return PublishedItem(kind, name, event.revision, value)
 
 
 def _value(event: Event) -> bytes | None:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -8,10 +8,12 @@
 
 import base64
 import json
+import random
 
 import pytest
 
 from egrethook.addresses import Address
+from egrethook.balancers.gossip_codec import Delta, encode
 from egrethook.datagrams import DatagramSocket
 from egrethook.discovery.http_exchange import HttpResponse
 from egrethook.discovery.records import ItemKind, PublishedItem
@@ -195,3 +197,57 @@
     with DatagramSocket(Address("127.0.0.1", 0)) as socket:
         socket.send(address, b"packet")
         assert socket.dropped == 1
+
+
+OUT_OF_RANGE = [
+    ("concurrency", "1" + "0" * 400),
+    ("concurrency", str(2**63)),
+    ("concurrency", "0"),
+    ("concurrency", "-1"),
+    ("warmupLeftMs", "1e300"),
+    ("warmupLeftMs", "1" + "0" * 5_000),
+    ("born", str(2**63)),
+    ("born", "-1"),
+    ("born", "1.5"),
+    ("born", "true"),
+]
+
+
+@pytest.mark.parametrize(("field", "number"), OUT_OF_RANGE, ids=lambda text: text[:20])
+def test_entry_with_a_number_out_of_range_names_no_upstream(field, number):
+    """Guards against numbers that no later arithmetic or message can hold."""
+    raw = entry(**{field: "number"}).replace(b'"number"', number.encode())
+    with pytest.raises(DocumentError):
+        StoreDecoder().upstream("i-0b", raw)
+
+
+@pytest.mark.parametrize(
+    "revision", [2**63, 10**400, -1, 1.5, None], ids=lambda number: str(number)[:20]
+)
+def test_response_with_a_revision_out_of_range_counts_as_a_failed_read(revision):
+    """Guards against a revision that gossip can't send, which ended the process."""
+    event = {"key": "servers/i-0b", "value": "e30=", "revision": revision}
+    for body in (
+        {"events": [event], "items": [event], "currentRev": 9},
+        {"events": [], "items": [], "currentRev": revision},
+    ):
+        response = HttpResponse(200, json.dumps(body).encode())
+        with pytest.raises(SourceUnavailableError):
+            read_watch(response, after=1)
+        with pytest.raises(SourceUnavailableError):
+            RangeReading().take(response)
+
+
+def test_large_foreign_entry_does_not_keep_gossip_from_other_changes():
+    """Guards against an entry that fits no message: members asked for it for ever."""
+    large = base64.b64encode(random.Random(1).randbytes(1_000_000)).decode()
+    events = [
+        {"key": "servers/i-0b", "value": large, "revision": 7},
+        {"key": "op/evacuate/zone-a", "value": large, "revision": 8},
+    ]
+    body = json.dumps({"events": events, "currentRev": 8}).encode()
+    changes = read_watch(HttpResponse(200, body), after=6)
+    assert len(encode(Delta(changes, 0.0))) < 1_000
+    view = view_with(*changes.items)
+    assert [upstream.name for upstream in view.upstreams.all()] == ["i-0a"]
+    assert view.domains_out == {"zone-a"}
