Answer odd probes, and listen and accept again after a failure

Reproduced with real processes: one probe with an Upgrade header or CONNECT ended a process, so did a TCP address in use, an accept without a free descriptor, and more connections during the start than descriptors.

Cause: HttpParserUpgrade isn't an HttpParserError; bind and accept raise OSError. Each left its task and ended the task group, that is the process. Ruled out by the same runs: reset connections, random datagrams, series of SIGHUP, broken settings at a reload.

An upgrade in a response of the registry counts as a failed read.

--- a/egrethook/discovery/http_exchange.py
+++ b/egrethook/discovery/http_exchange.py
@@ -69,7 +69,7 @@
             )
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             raise SourceUnavailableError(f"invalid HTTP response: {error}") from None
         if not self._complete:
             return None
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -22,7 +22,7 @@
 from egrethook.interleaving import ImportInterleaver
 from egrethook.line_log import LineLog
 from egrethook.logs import PartLog
-from egrethook.operators.probes import ProbeAnswer, serve_probes
+from egrethook.operators.probes import ProbeAnswer, ProbeServer
 from egrethook.signals import SignalReceiver
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM
 from egrethook.upstreams.reachability import HeardDomains
@@ -185,7 +185,7 @@
 
     async def _serve_readiness(self) -> None:
         address = Address.parse(self._settings.probes)
-        await serve_probes(address, {"/readyz": self._readiness_response})
+        await ProbeServer(address, {"/readyz": self._readiness_response}).run()
 
     def _readiness_response(self) -> ProbeAnswer:
         return ProbeAnswer(200 if self._forwarder.ready else 503)
@@ -193,7 +193,7 @@
     async def _serve_metrics(self) -> None:
         host = Address.parse(self._settings.packets).host
         address = Address(host, self._settings.metrics_port)
-        await serve_probes(address, {"/metrics": self._metrics_response})
+        await ProbeServer(address, {"/metrics": self._metrics_response}).run()
 
     def _metrics_response(self) -> ProbeAnswer:
         # The metrics library loads slowly, so it is imported on the first request.
--- a/egrethook/operators/probes.py
+++ b/egrethook/operators/probes.py
@@ -2,19 +2,41 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 import anyio
 import httptools
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketListener, TaskGroup
 
 from egrethook.addresses import Address
+from egrethook.error_boundary import ErrorBoundary
+from egrethook.logs import PartLog
 
 IDLE_TIMEOUT_S = 60.0
 """Timeout after which an idle connection is closed, in seconds."""
 
-_REASON_PHRASES = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+RETRY_DELAY_S = 0.2
+"""Delay before another attempt to listen or to accept a connection, in seconds."""
+
+_REASON_PHRASES = {
+    200: "OK",
+    404: "Not Found",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+
+_CONNECTION_FAILURES = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    TimeoutError,
+    httptools.HttpParserError,
+)
+"""Errors that end one connection and concern nobody else."""
+
+_LOG = PartLog("probes")
 
 
 class ProbeAnswer(NamedTuple):
@@ -33,7 +55,13 @@
     def __init__(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
-        self.paths: list[str] = []
+        self._paths: list[str] = []
+        self._is_last = False
+
+    @property
+    def is_last(self) -> bool:
+        """Whether the connection ends after the requests received so far."""
+        return self._is_last
 
     def on_message_begin(self) -> None:
         """Start a request (parser callback)."""
@@ -46,15 +74,29 @@
     def on_message_complete(self) -> None:
         """Add the path of a complete request (parser callback)."""
         path = self._url.partition(b"?")[0]
-        self.paths.append(path.decode("latin-1"))
+        self._paths.append(path.decode("latin-1"))
+        self._is_last = not self._parser.should_keep_alive()
+
+    def feed(self, data: bytes) -> list[str]:
+        """Parse received data and return the paths of the requests it completes.
+
+        A request to switch protocols is answered like any other, over HTTP/1.1, and
+        is the last one on its connection.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Not a subclass of HttpParserError.
+            self._is_last = True
+        paths, self._paths = self._paths, []
+        return paths
 
-    def feed(self, data: bytes) -> None:
-        """Parse data received from the connection."""
-        self._parser.feed_data(data)
 
+class ProbeServer:
+    """Serves probes over HTTP, with one task for each connection.
 
-async def serve_probes(address: Address, handlers: Mapping[str, Handler]) -> None:
-    """Serve until cancelled, with one task for each connection.
+    An address that can't be bound yet, or a lack of file descriptors, is logged and
+    tried again: neither ends the process.
 
     Parameters
     ----------
@@ -64,37 +106,79 @@
         The handler of each path; other paths get status 404.
     """
 
-    async def serve_connection(stream: ByteStream) -> None:
-        async with stream:
-            reader = _RequestReader()
-            try:
-                while True:
-                    with anyio.fail_after(IDLE_TIMEOUT_S):
-                        reader.feed(await stream.receive())
-                    while reader.paths:
-                        await stream.send(
-                            _encode_response(handlers, reader.paths.pop(0))
-                        )
-            except (
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                TimeoutError,
-                httptools.HttpParserError,
-            ):
-                return
-
-    listener = await anyio.create_tcp_listener(
-        local_host=address.host, local_port=address.port, reuse_port=False
-    )
-    async with listener:
-        await listener.serve(serve_connection)
-
-
-def _encode_response(handlers: Mapping[str, Handler], path: str) -> bytes:
-    handler = handlers.get(path)
-    response = handler() if handler else ProbeAnswer(404)
-    phrase = _REASON_PHRASES[response.status]
-    head = (
-        f"HTTP/1.1 {response.status} {phrase}\r\nContent-Length: {len(response.body)}"
-    )
-    return f"{head}\r\n\r\n".encode() + response.body
+    def __init__(self, address: Address, handlers: Mapping[str, Handler]) -> None:
+        self._address = address
+        self._handlers = handlers
+        self._is_failing = False
+        self._connection_errors = ErrorBoundary(_LOG, "connection")
+        self._handler_errors = ErrorBoundary(_LOG, "handler")
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                try:
+                    await self._accept_connections(tasks)
+                except OSError as error:
+                    self._note_failure("listen", error)
+                    await anyio.sleep(RETRY_DELAY_S)
+
+    async def _accept_connections(self, tasks: TaskGroup) -> None:
+        multi_listener = await anyio.create_tcp_listener(
+            local_host=self._address.host,
+            local_port=self._address.port,
+            reuse_port=False,
+        )
+        async with multi_listener:
+            (listener,) = multi_listener.listeners
+            assert isinstance(listener, SocketListener)
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError as error:
+                    self._note_failure("accept a connection", error)
+                    await anyio.sleep(RETRY_DELAY_S)
+                    continue
+                self._is_failing = False
+                tasks.start_soon(self._serve_connection, stream)
+
+    def _note_failure(self, action: str, error: OSError) -> None:
+        """Log the first of several failures in a row."""
+        if self._is_failing:
+            return
+        self._is_failing = True
+        _LOG.alarm(
+            f"can't {action}; trying again.",
+            address=str(self._address),
+            error=error.strerror or str(error),
+        )
+
+    async def _serve_connection(self, stream: ByteStream) -> None:
+        with self._connection_errors:
+            async with stream:
+                with contextlib.suppress(*_CONNECTION_FAILURES):
+                    await self._answer_requests(stream)
+
+    async def _answer_requests(self, stream: ByteStream) -> None:
+        reader = _RequestReader()
+        while not reader.is_last:
+            with anyio.fail_after(IDLE_TIMEOUT_S):
+                data = await stream.receive()
+            for path in reader.feed(data):
+                await stream.send(self._response(path))
+
+    def _response(self, path: str) -> bytes:
+        handler = self._handlers.get(path)
+        if handler is None:
+            return _encode(ProbeAnswer(404))
+        try:
+            return _encode(handler())
+        except Exception as error:
+            self._handler_errors.note(error, path=path)
+            return _encode(ProbeAnswer(500))
+
+
+def _encode(answer: ProbeAnswer) -> bytes:
+    phrase = _REASON_PHRASES[answer.status]
+    head = f"HTTP/1.1 {answer.status} {phrase}\r\nContent-Length: {len(answer.body)}"
+    return f"{head}\r\n\r\n".encode() + answer.body
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 import select
 import signal
@@ -15,11 +14,11 @@
 import sys
 import sysconfig
 import time
-from contextlib import contextmanager
 from importlib import import_module
 from types import ModuleType
 
 import pytest
+from process_harness import forwarding_process, free_port, read_until
 
 from egrethook.addresses import Address
 from egrethook.datagrams import DatagramSocket
@@ -124,12 +123,6 @@
         sock.bind(address)
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def bound_socket():
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.bind(("127.0.0.1", 0))
@@ -181,48 +174,13 @@
     assert run.stdout.strip() == (arguments[0] if bound else "not bound")
 
 
-def read_until(process, text):
-    for line in process.stdout:
-        if text in line:
-            return
-    pytest.fail(f"the process ended before it logged {text}")
-
-
-@contextmanager
-def forwarding_process(tmp_path, leave_s):
-    """Start a forwarding process without a registry; yield it after its first line."""
-    host = "127.0.0.1"
-    settings = {
-        "name": "vm-1",
-        "failure_domain": "zone-a",
-        "packets": f"{host}:{free_port()}",
-        "peers": f"{host}:{free_port()}",
-        "probes": f"{host}:{free_port()}",
-        "registry": f"{host}:1",
-        "metrics_port": free_port(),
-        "leave_s": leave_s,
-    }
-    path = tmp_path / "node"
-    path.write_text(json.dumps(settings))
-    process = subprocess.Popen(
-        [sys.executable, "deploy/forwarder.py"],
-        env={**os.environ, "EGRETHOOK_CONFIG": str(path), "PYTHONPATH": os.getcwd()},
-        stdout=subprocess.PIPE,
-    )
-    try:
-        read_until(process, b"the process starts")
-        yield process
-    finally:
-        process.kill()
-        process.stdout.close()
-
-
 @pytest.mark.end_to_end
 @pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGHUP])
 def test_sigterm_while_libraries_load_stops_and_sighup_does_not(
     tmp_path, signal_number
 ):
-    with forwarding_process(tmp_path, leave_s=0.1) as process:
+    with forwarding_process(tmp_path, leave_s=0.1) as forwarder:
+        process = forwarder.process
         process.send_signal(signal_number)
         if signal_number == signal.SIGHUP:
             with pytest.raises(subprocess.TimeoutExpired):
@@ -236,7 +194,8 @@
 def test_signals_during_a_leave_do_not_cut_it_short(tmp_path, signal_number):
     """Signals come in series; a process that leaves forwards until it has left."""
     leave_s = 0.6
-    with forwarding_process(tmp_path, leave_s) as process:
+    with forwarding_process(tmp_path, leave_s=leave_s) as forwarder:
+        process = forwarder.process
         read_until(process, b"libraries loaded")
         process.terminate()
         read_until(process, b"process leaving")
