Wait for a UDP address that another socket still holds

Change: bind_when_free tries for up to 10 s, logs an alarm, and forwards packets between two attempts; then the coded error as before.

--- a/egrethook/datagrams.py
+++ b/egrethook/datagrams.py
@@ -8,11 +8,14 @@
 
 import _socket as socket
 import errno
+import time
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
 from egrethook.addresses import Address
 from egrethook.exceptions import AddressInUseError, SettingsError
+from egrethook.logs import PartLog
 
 RECEIVE_BATCH_SIZE = 64
 """Most datagrams received at once, so that other tasks get to run."""
@@ -24,6 +27,17 @@
 """Requested size of the kernel's send and receive buffers, in bytes."""
 
 
+BIND_TIMEOUT_S = 10.0
+"""Longest wait for an address that another socket holds, in seconds.
+
+A process that is leaving holds its addresses until it has ended.
+"""
+
+BIND_RETRY_DELAY_S = 0.05
+"""Delay before another attempt to bind an address, in seconds."""
+
+_LOG = PartLog("socket")
+
 _SEND_ERRORS = (OSError, OverflowError, ValueError, TypeError)
 """What `sendto` raises if the kernel refuses a datagram or an address is not valid.
 
@@ -107,6 +121,42 @@
         self.close()
 
 
+def bind_when_free(
+    address: Address,
+    bound: int | None = None,
+    meanwhile: Callable[[], None] = lambda: None,
+) -> DatagramSocket:
+    """Return a bound socket, waiting up to `BIND_TIMEOUT_S` for its address.
+
+    Parameters
+    ----------
+    address, bound
+        See `DatagramSocket`.
+    meanwhile : callable
+        Called between two attempts.
+
+    Raises
+    ------
+    AddressInUseError
+        If the address is still in use at the end of that time.
+    """
+    give_up_at = time.monotonic() + BIND_TIMEOUT_S
+    is_first = True
+    while True:
+        try:
+            return DatagramSocket(address, bound)
+        except AddressInUseError:
+            if time.monotonic() >= give_up_at:
+                raise
+        if is_first:
+            _LOG.alarm("the address is in use; trying again.", address=str(address))
+        is_first = False
+        # The first attempt has closed a socket that it did not use.
+        bound = None
+        meanwhile()
+        time.sleep(BIND_RETRY_DELAY_S)
+
+
 def _adopt(bound: int | None, address: Address) -> socket.socket | None:
     """Return the socket of a file descriptor if it is bound to the address."""
     if bound is None:
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarder_tasks.py
@@ -13,7 +13,7 @@
 from egrethook.balancers.gossip_codec import MemberInfo
 from egrethook.balancers.gossip_members import GossipMembers
 from egrethook.clock import SuspensionDetector
-from egrethook.datagrams import DatagramSocket
+from egrethook.datagrams import bind_when_free
 from egrethook.discovery.follower import RegistryFollower
 from egrethook.discovery.records import RecordSource
 from egrethook.error_boundary import ErrorBoundary
@@ -86,7 +86,9 @@
             0,
         )
         self._members = GossipMembers(own_member, settings.seeds, rng)
-        self._peer_socket = DatagramSocket(own_member.address)
+        self._peer_socket = bind_when_free(
+            own_member.address, meanwhile=forwarder.handle_ready_packets
+        )
         self._gossip = Gossip(
             self._peer_socket,
             self._members,
--- a/egrethook/platform/daemon.py
+++ b/egrethook/platform/daemon.py
@@ -11,7 +11,7 @@
 # import msgspec.
 import egrethook.fast_import  # noqa: F401
 from egrethook.addresses import Address
-from egrethook.datagrams import DatagramSocket
+from egrethook.datagrams import bind_when_free
 from egrethook.exceptions import EgrethookError
 from egrethook.forwarder import Forwarder
 from egrethook.forwarder_settings import load_forwarder_settings
@@ -48,7 +48,7 @@
         settings = load_forwarder_settings(path)
         log = LineLog(sys.stdout.fileno(), settings.name)
         set_destination(log)
-        packets = DatagramSocket(Address.parse(settings.packets), packet_socket)
+        packets = bind_when_free(Address.parse(settings.packets), packet_socket)
         with Forwarder(settings, PacketHeader(), StoreDecoder(), packets) as forwarder:
             StartupLoop(forwarder, RangeReading, _import_deferred_modules).run()
             # Garbage collection was off until here, see deploy/forwarder.py. Objects
--- a/tests/test_process_survival.py
+++ b/tests/test_process_survival.py
@@ -13,6 +13,7 @@
 import pytest
 from process_harness import (
     HOST,
+    forwarder_settings,
     forwarding_process,
     free_port,
     http_status,
@@ -98,6 +99,25 @@
         wait_for_status((HOST, port), 404 if kind == "metrics" else 503)
 
 
+@pytest.mark.parametrize("kind", ["packets", "peers"])
+def test_udp_address_that_is_in_use_is_bound_once_it_is_free(tmp_path, kind):
+    """Guards against a process that ends while its predecessor still leaves."""
+    settings = forwarder_settings()
+    port = int(settings[kind].rpartition(":")[2])
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as predecessor:
+        predecessor.bind((HOST, port))
+        delayed = {"packets": b"the address is in use", "peers": b"the process starts"}
+        with forwarding_process(
+            tmp_path, first_line=delayed[kind], **settings
+        ) as forwarder:
+            if kind == "peers":
+                read_until(forwarder.process, b"the address is in use")
+            time.sleep(0.3)
+            assert forwarder.is_running()
+            predecessor.close()
+            wait_for_status(forwarder.probes, 503)
+
+
 def test_process_without_file_descriptors_serves_when_it_has_some_again(tmp_path):
     """Guards against OSError of `accept`, which ended the listener and the process."""
     with forwarding_process(tmp_path, max_files=64) as forwarder:
