Read the settings again at the start until the file is complete

Change: the file is read again for up to 2 s before the coded error ends the process; each attempt is logged.

Measured: 4 of the 5 new tests failed before (the fifth states the coded error), all pass now.

--- a/egrethook/forwarder_settings.py
+++ b/egrethook/forwarder_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import time
 from typing import Annotated
 
 import msgspec
@@ -83,6 +84,15 @@
 RELOADABLE_KEYS = frozenset({"known_peers", "flow_limit", "leave_s"})
 """Settings that take effect without a restart."""
 
+COMPLETE_FILE_WAIT_S = 2.0
+"""Longest wait at the start for a valid settings file, in seconds.
+
+A file that is being replaced may be missing or cut off for a moment.
+"""
+
+READ_RETRY_DELAY_S = 0.1
+"""Delay before the settings file is read again at the start, in seconds."""
+
 _LOG = PartLog("settings")
 
 _JSON_DECODER = msgspec.json.Decoder(ForwarderSettings)
@@ -112,6 +122,25 @@
         raise SettingsError(f"{path}: {error}") from None
 
 
+def await_forwarder_settings(path: str) -> ForwarderSettings:
+    """Read a settings file, waiting up to `COMPLETE_FILE_WAIT_S` until it is valid.
+
+    Raises
+    ------
+    SettingsError
+        If the file is still not valid by then.
+    """
+    give_up_at = time.monotonic() + COMPLETE_FILE_WAIT_S
+    while True:
+        try:
+            return load_forwarder_settings(path)
+        except SettingsError as error:
+            if time.monotonic() >= give_up_at:
+                raise
+            _LOG.warning("settings file is not valid; reading it again.", error=error)
+        time.sleep(READ_RETRY_DELAY_S)
+
+
 class SettingsFile:
     """Detects changes of a settings file and reloads it.
 
--- a/egrethook/platform/daemon.py
+++ b/egrethook/platform/daemon.py
@@ -14,7 +14,7 @@
 from egrethook.datagrams import bind_when_free
 from egrethook.exceptions import EgrethookError
 from egrethook.forwarder import Forwarder
-from egrethook.forwarder_settings import load_forwarder_settings
+from egrethook.forwarder_settings import await_forwarder_settings
 from egrethook.forwarder_start import StartupLoop
 from egrethook.line_log import LineLog
 from egrethook.logs import set_destination
@@ -25,6 +25,9 @@
 SETTINGS_VARIABLE = "EGRETHOOK_CONFIG"
 """Environment variable that holds the path of the settings file."""
 
+UNNAMED_PROCESS = "forwarder"
+"""Name of the process in log lines until its settings have been read."""
+
 _DEFERRED_MODULES = (
     "anyio._backends._asyncio",
     "uvloop",
@@ -45,7 +48,8 @@
     """
     try:
         path = os.environ.get(SETTINGS_VARIABLE, "")
-        settings = load_forwarder_settings(path)
+        set_destination(LineLog(sys.stdout.fileno(), UNNAMED_PROCESS))
+        settings = await_forwarder_settings(path)
         log = LineLog(sys.stdout.fileno(), settings.name)
         set_destination(log)
         packets = bind_when_free(Address.parse(settings.packets), packet_socket)
--- a/tests/test_process_survival.py
+++ b/tests/test_process_survival.py
@@ -6,8 +6,12 @@
 
 from __future__ import annotations
 
+import json
+import os
 import socket
 import struct
+import subprocess
+import sys
 import time
 
 import pytest
@@ -118,6 +122,42 @@
             wait_for_status(forwarder.probes, 503)
 
 
+@pytest.mark.parametrize("found", [None, b"", b'{"name": "vm', b"\0"])
+def test_settings_that_are_being_replaced_are_read_once_they_are_valid(tmp_path, found):
+    """Guards against a process that ends since its settings file is cut off."""
+    path = tmp_path / "node"
+    if found is not None:
+        path.write_bytes(found)
+    process = subprocess.Popen(
+        [sys.executable, "deploy/forwarder.py"],
+        env={**os.environ, "EGRETHOOK_CONFIG": str(path), "PYTHONPATH": os.getcwd()},
+        stdout=subprocess.PIPE,
+    )
+    try:
+        read_until(process, b"settings file is not valid")
+        path.write_text(json.dumps(forwarder_settings(leave_s=0.0)))
+        read_until(process, b"the process starts")
+        process.terminate()
+        assert process.wait(timeout=10.0) == 0
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+
+def test_settings_that_stay_invalid_end_the_process_with_the_coded_error(tmp_path):
+    path = tmp_path / "node"
+    path.write_text("{")
+    run = subprocess.run(
+        [sys.executable, "deploy/forwarder.py"],
+        env={**os.environ, "EGRETHOOK_CONFIG": str(path), "PYTHONPATH": os.getcwd()},
+        capture_output=True,
+        timeout=30.0,
+    )
+    assert run.returncode == 2
+    assert run.stderr.startswith(b"E101: ")
+
+
 def test_process_without_file_descriptors_serves_when_it_has_some_again(tmp_path):
     """Guards against OSError of `accept`, which ended the listener and the process."""
     with forwarding_process(tmp_path, max_files=64) as forwarder:
