Let a response of the registry end with its connection

Cause: end of stream always counted as a failed read, and a connection that the response had ended was used for the next call.

Change: a body without a length ends with its connection; a connection that isn't kept is closed after its response, also between two pages of the first read.

--- a/egrethook/discovery/http_client.py
+++ b/egrethook/discovery/http_client.py
@@ -98,6 +98,8 @@
             with anyio.fail_after(PROGRESS_TIMEOUT_S):
                 data = await self._receive()
             response = reader.feed(data)
+        if not reader.keeps_connection:
+            await self.aclose()
         return response
 
     async def _receive(self) -> bytes:
--- a/egrethook/discovery/http_exchange.py
+++ b/egrethook/discovery/http_exchange.py
@@ -36,16 +36,36 @@
     return quote(text, safe="")
 
 
+_LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+"""Headers without which a body ends with its connection."""
+
+
 class ResponseReader:
     """Parses one response from the bytes received on a connection."""
 
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
+        self._headers_complete = False
+        self._has_length = False
         self._complete = False
+        self._keeps_connection = False
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether the connection may be used again after the complete response."""
+        return self._keeps_connection
 
     # Parser callbacks.
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note whether the length of the body is known."""
+        self._has_length = self._has_length or name.lower() in _LENGTH_HEADERS
+
+    def on_headers_complete(self) -> None:
+        """Mark the headers as complete."""
+        self._headers_complete = True
+
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._body += body
@@ -53,6 +73,7 @@
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
         self._complete = True
+        self._keeps_connection = self._parser.should_keep_alive()
 
     def feed(self, data: bytes) -> HttpResponse | None:
         """Parse received bytes and return the response once it is complete.
@@ -61,8 +82,10 @@
         ------
         SourceUnavailableError
             If the bytes are not valid HTTP, or are empty because the connection
-            was closed.
+            was closed before the response was complete.
         """
+        if not data and self._headers_complete and not self._has_length:
+            return self._response()
         if not data:
             raise SourceUnavailableError(
                 "connection closed before the response was complete"
@@ -73,4 +96,7 @@
             raise SourceUnavailableError(f"invalid HTTP response: {error}") from None
         if not self._complete:
             return None
+        return self._response()
+
+    def _response(self) -> HttpResponse:
         return HttpResponse(self._parser.get_status_code(), bytes(self._body))
--- a/egrethook/forwarder_start.py
+++ b/egrethook/forwarder_start.py
@@ -218,9 +218,7 @@
         self._reader = ResponseReader()
         self._sent = False
         self._response_started = False
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._socket.setblocking(False)
-        self._socket.connect_ex(address)
+        self._socket = _connecting_socket(address)
 
     @property
     def deadline(self) -> float:
@@ -255,8 +253,15 @@
         self._reading.take(response)
         if self._reading.complete:
             return self._reading.snapshot()
+        keeps_connection = self._reader.keeps_connection
         self._reader = ResponseReader()
-        self._send()
+        if keeps_connection:
+            self._send()
+        else:
+            # The request for the next page is sent once the connection is open.
+            self.close()
+            self._sent = False
+            self._socket = _connecting_socket(self._address)
         return None
 
     def close(self) -> None:
@@ -271,3 +276,11 @@
         request = request_bytes(self._address.host, self._reading.path, **query)
         self._socket.send(request)
         self._sent = True
+
+
+def _connecting_socket(address: Address) -> socket.socket:
+    """Return a non-blocking socket that is being connected."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.connect_ex(address)
+    return sock
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,6 +19,7 @@
 from egrethook.discovery.catalog import Catalog
 from egrethook.discovery.follower import BATCH_DELAY_S, RegistryFollower
 from egrethook.discovery.http_client import HttpClient
+from egrethook.discovery.http_exchange import ResponseReader
 from egrethook.discovery.records import Changes, ItemKind, Snapshot
 from egrethook.discovery.replica import Replica
 from egrethook.exceptions import (
@@ -248,3 +249,58 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+LENGTH = b"Content-Length: 4\r\n"
+CLOSE = b"Connection: close\r\n"
+
+ENDINGS = {
+    "keeps the connection": (b"HTTP/1.1 200 OK\r\n" + LENGTH, False),
+    "asks to close": (b"HTTP/1.1 200 OK\r\n" + LENGTH + CLOSE, True),
+    "has no length": (b"HTTP/1.1 200 OK\r\n" + CLOSE, True),
+    "is of HTTP/1.0": (b"HTTP/1.0 200 OK\r\n", True),
+    "is of HTTP/1.0 with length": (b"HTTP/1.0 200 OK\r\n" + LENGTH, True),
+}
+
+
+@pytest.mark.parametrize(("head", "closes"), ENDINGS.values(), ids=ENDINGS.keys())
+def test_response_may_end_with_its_connection(head, closes):
+    """Guards against a registry that is never read since it closes connections."""
+    connections = []
+
+    async def server(stream):
+        connections.append(stream)
+        async with stream:
+            while True:
+                try:
+                    await stream.receive()
+                except anyio.EndOfStream:
+                    return
+                await stream.send(head + b"\r\nbody")
+                if closes:
+                    return
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            tasks.start_soon(listener.serve, server)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            client = HttpClient(Address("127.0.0.1", port))
+            for _ in range(3):
+                response = await client.get("/kv-range", 1.0)
+                assert response.body == b"body"
+            await client.aclose()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert len(connections) == (3 if closes else 1)
+
+
+def test_response_that_is_cut_off_is_a_failed_read():
+    """Guards against a part of a body that is taken for the whole one."""
+    reader = ResponseReader()
+    reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody")
+    with pytest.raises(SourceUnavailableError):
+        reader.feed(b"")
+    with pytest.raises(SourceUnavailableError):
+        ResponseReader().feed(b"")
