Require the fields that each entry of an endpoint has

Cause: version and sequence weren't declared and warmupLeftMs had a default, so that such an entry named an endpoint to use. Ruled out, by leaving out and mistyping each field: all others.

Change: the three are required and typed; born stays optional, as the platform's example lacks it. The soak's upstreams register with all fields.

--- a/egrethook/emulator/soak/run.py
+++ b/egrethook/emulator/soak/run.py
@@ -239,9 +239,11 @@
                 "service": upstream.service,
                 "address": str(upstream.address),
                 "zone": upstream.domain,
+                "version": "1",
                 "concurrency": 2,
                 "state": state,
                 "warmupLeftMs": 0,
+                "sequence": 1,
                 "born": upstream.started_ms,
             },
         )
--- a/egrethook/platform/store_messages.py
+++ b/egrethook/platform/store_messages.py
@@ -91,17 +91,20 @@
 
     `concurrency` is its number of slots, `zone` its failure domain, `born` the
     Unix time of its process start in milliseconds, and `warmup_left_ms` how much
-    longer it was cold when it wrote the record. The platform's `sequence`, the
-    number of its writes, is not read.
+    longer it was cold when it wrote the record. `version`, of its software, and
+    `sequence`, the number of its writes, are required but not used: a record without
+    them comes from another writer.
     """
 
     service: str
     address: str
     zone: str
+    version: str
     state: str
     concurrency: Slots
+    warmup_left_ms: WarmupLeftMs
+    sequence: Number
     born: Number = 0
-    warmup_left_ms: WarmupLeftMs = 0.0
 
 
 class _Split(msgspec.Struct):
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -251,3 +251,47 @@
     view = view_with(*changes.items)
     assert [upstream.name for upstream in view.upstreams.all()] == ["i-0a"]
     assert view.domains_out == {"zone-a"}
+
+
+@pytest.mark.parametrize("field", sorted(ENTRY.keys() - {"born"}))
+def test_entry_without_a_field_names_no_upstream(field):
+    """Guards against another writer's entry that sends flows to a wrong service."""
+    incomplete = {name: part for name, part in ENTRY.items() if name != field}
+    view = view_with(
+        PublishedItem(ItemKind.UPSTREAM, "i-0b", 2, json.dumps(incomplete).encode())
+    )
+    assert [upstream.name for upstream in view.upstreams.all()] == ["i-0a"]
+
+
+@pytest.mark.parametrize("field", sorted(ENTRY))
+@pytest.mark.parametrize("part", [None, [], {}, True, "\u00b2", 1.5, -1, ["v1"]])
+def test_entry_with_a_field_of_another_type_is_refused_or_whole(field, part):
+    """Guards against a field of another type that is taken for the endpoint's own."""
+    raw = entry(**{field: part})
+    try:
+        record = StoreDecoder().upstream("i-0b", raw)
+    except DocumentError:
+        return
+    # A text may hold any text, and the rest of a warm-up any small number.
+    assert (field, type(part)) in {
+        ("service", str),
+        ("zone", str),
+        ("version", str),
+        ("warmupLeftMs", float),
+        ("warmupLeftMs", int),
+    }
+    assert record.address == ("10.0.0.9", 8080)
+
+
+def test_incomplete_entry_moves_no_upstream_to_another_service():
+    """Guards against ROUTE: a known endpoint's entry is written over by another."""
+    incomplete = {
+        name: part
+        for name, part in ENTRY.items()
+        if name not in {"version", "warmupLeftMs", "sequence", "born"}
+    }
+    raw = json.dumps({**incomplete, "service": "documents"}).encode()
+    view = view_with(PublishedItem(ItemKind.UPSTREAM, "i-0a", 2, raw))
+    assert view.candidates("documents") == []
+    view.update([PublishedItem(ItemKind.UPSTREAM, "i-0a", 3, entry())], 2.0)
+    assert [upstream.name for upstream in view.candidates("holdings")] == ["i-0a"]
