Let further removals leave a grace period as it is

Cause: a second removal in the grace period dropped the upstream but left its name there, and expire raised KeyError. Random orders of events found one more fault of the mechanism: a removal of an upstream that still answers began its period anew, so that an entry written over and over kept it in use.

Change: the period runs from the first removal, and dropping an upstream ends it.

--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -87,9 +87,10 @@
 
         If it was ready and answered recently, its record has probably expired during
         a registry outage, and the upstream is kept for `EXPIRED_RECORD_GRACE_S`.
+        Further removals in that time neither extend it nor end it.
         """
         known = self._by_name.get(name)
-        if known is None:
+        if known is None or name in self._grace_ends_at:
             return
         was_ready = known.record.phase is UpstreamPhase.READY
         if was_ready and now - known.answered_at < RECENT_ANSWER_S:
@@ -101,7 +102,6 @@
         """Drop upstreams whose grace period is over, and tokens after `flow_life_s`."""
         for name, until in list(self._grace_ends_at.items()):
             if now >= until:
-                del self._grace_ends_at[name]
                 self._drop(self._by_name[name], now)
         for token, upstream in list(self._gone.items()):
             gone_at = upstream.gone_at
@@ -113,6 +113,7 @@
 
     def _drop(self, upstream: Upstream, now: float) -> None:
         del self._by_name[upstream.name]
+        self._grace_ends_at.pop(upstream.name, None)
         self._remove_from_service(upstream)
         self._retire(upstream, now)
 
