Push all changes since the previous revision

Cause: a push claims all changes between two revisions but contained only the items that were new to its sender. Items that it had taken before, across a gap, were left out, and receivers advanced over them.

Change: a push holds what the catalog has since the previous revision; if the revision hasn't advanced, it claims nothing.

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -146,7 +146,9 @@
     def propagate(self, items: Sequence[PublishedItem], previous_revision: int) -> None:
         """Push changes that have just been merged.
 
-        The first snapshot is not pushed.
+        If the revision has advanced, all changes since the previous one are pushed,
+        also those that were merged earlier: receivers take the push as complete. The
+        first snapshot is not pushed.
 
         Parameters
         ----------
@@ -158,8 +160,8 @@
         now = self._clock.now()
         if not items or not previous_revision:
             return
-        changes = Changes(previous_revision, self._replica.revision, items)
-        if sum(item_size(item) for item in items) > PUSH_MAX_BYTES:
+        changes = self._changes_to_push(items, previous_revision)
+        if changes is None or _total_size(changes.items) > PUSH_MAX_BYTES:
             # Send only a digest: members that lack a large change request it
             # once instead of receiving it from several members.
             self._send(self._digest(now), self._members.push_targets(now))
@@ -167,6 +169,19 @@
         delta = Delta(changes, self._replica.age(now))
         self._send(delta, self._members.push_targets(now))
 
+    def _changes_to_push(
+        self, items: Sequence[PublishedItem], previous_revision: int
+    ) -> Changes | None:
+        """Return the changes to push, or None if they are too many."""
+        revision = self._replica.revision
+        if revision == previous_revision:
+            # They follow a gap and prove nothing about the revision.
+            return Changes(revision, revision, items)
+        catalog = self._replica.catalog
+        changes = catalog.changes_since(previous_revision, PUSH_MAX_BYTES)
+        is_complete = changes is not None and changes.revision == revision
+        return changes if is_complete else None
+
     def _handle(self, datagram: bytes, source: Address) -> None:
         try:
             message = decode(datagram)
@@ -249,3 +264,7 @@
         for target in targets:
             self._bytes_sent += len(datagram)
             self._socket.send(target, datagram)
+
+
+def _total_size(items: Sequence[PublishedItem]) -> int:
+    return sum(item_size(item) for item in items)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -254,6 +254,66 @@
     assert all(names(replica.catalog) == set() for replica in fleet.replicas)
 
 
+def test_push_contains_what_the_sender_already_held():
+    """Guards against members that count as up to date and lack a change for good."""
+    fleet = Fleet(12)
+    fleet.run_rounds(6)
+    first, second = fleet.replicas[0], fleet.replicas[1]
+    first.apply_snapshot(Snapshot([item("a", 7)], 7), fleet.clock.now())
+    fleet.run_rounds(6)
+    assert {replica.revision for replica in fleet.replicas} == {7}
+    fleet.network.partitioned = {
+        address
+        for address in fleet.network.gossips
+        if address != Address("10.0.0.2", 7000)
+    }
+    # The second member holds revision 9 across a gap when 8 arrives.
+    first.apply_changes(Changes(8, 9, [item("c", 9)]), fleet.clock.now())
+    second.apply_changes(Changes(8, 9, [item("c", 9)]), fleet.clock.now())
+    fleet.network.queue.clear()
+    fleet.network.partitioned = set()
+    second.apply_changes(Changes(7, 9, [item("b", 8), item("c", 9)]), fleet.clock.now())
+    fleet.network.deliver()
+    fleet.run_rounds(6)
+    for replica in fleet.replicas:
+        assert replica.revision == 9
+        assert names(replica.catalog) == {"a", "b", "c"}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_members_that_are_up_to_date_hold_every_change(seed):
+    """Guards against lost changes when deltas arrive late, twice, or not at all."""
+    rng = random.Random(seed)
+    fleet = Fleet(14)
+    fleet.run_rounds(6)
+    replicas = fleet.replicas
+    replicas[0].apply_snapshot(Snapshot([], 100), fleet.clock.now())
+    fleet.run_rounds(6)
+    history = []
+    for _ in range(60):
+        for _ in range(rng.choice((1, 1, 3))):
+            revision = 101 + len(history)
+            history.append(item(f"up-{revision}", revision))
+        for reader in rng.sample(replicas, 2):
+            missing = [
+                change for change in history if change.revision > reader.revision
+            ]
+            if missing:
+                changes = Changes(reader.revision, missing[-1].revision, missing)
+                reader.apply_changes(changes, fleet.clock.now())
+        rng.shuffle(fleet.network.queue)
+        kept = rng.randrange(len(fleet.network.queue) + 1)
+        late = fleet.network.queue[kept:]
+        del fleet.network.queue[kept:]
+        fleet.network.deliver()
+        fleet.network.queue += late
+        for replica in replicas:
+            expected = {
+                change.name for change in history if change.revision <= replica.revision
+            }
+            assert expected <= names(replica.catalog)
+
+
 def test_age_stays_low_only_while_a_member_reads_the_registry():
     fleet = Fleet(6)
     fleet.run_rounds(4)
