Never separate the changes of one revision

What callers would see: an upstream that was deleted and is still used by some VMs, or VMs that refuse a whole message (found while following the cause of lost changes).

And more than 4,096 short items fitted the size, but their receivers refused them.

Change: the cut comes before the next revision, and after about 4,000 items; receivers take 16,384, more than all tombstones.

--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -30,8 +30,11 @@
 NAME_MAX_CHARS = 200
 """Maximum length of a name in a message, in characters."""
 
-CONTAINER_MAX_ITEMS = 4_096
-"""Maximum number of members or items in a message."""
+CONTAINER_MAX_ITEMS = 16_384
+"""Maximum number of members or items in a message.
+
+More than all items and tombstones, which may have one revision.
+"""
 
 _PROTOCOL = TCompactProtocolAcceleratedFactory(
     string_length_limit=DATAGRAM_MAX_BYTES, container_length_limit=CONTAINER_MAX_ITEMS
--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
 
 TOMBSTONE_LIMIT = 5_000
 """Maximum number of tombstones (deleted items) kept."""
 
+CHANGES_MAX_ITEMS = 4_000
+"""Number of items after which a list of changes is cut."""
+
 ItemKey = tuple[ItemKind, str]
 
 
@@ -83,20 +86,19 @@
         Returns
         -------
         Changes or None
-            None if tombstones of later revisions have been dropped.
+            None if tombstones of later revisions have been dropped. Changes of one
+            revision are never separated: a snapshot deletes several items at once.
         """
         if after < self._forgotten_revision:
             return None
         newer = [item for item in self._items.values() if item.revision > after]
         newer.sort(key=lambda item: item.revision)
-        size = 0
-        for count, item in enumerate(newer):
-            size += item_size(item)
-            if count and size > limit_bytes:
-                # Items newer than `revision` may follow a gap.
-                complete_to = min(newer[count - 1].revision, self._revision)
-                return Changes(after, max(after, complete_to), newer[:count])
-        return Changes(after, max(after, self._revision), newer)
+        count = _count_within(newer, limit_bytes)
+        if count == len(newer):
+            return Changes(after, max(after, self._revision), newer)
+        # Items newer than `revision` may follow a gap.
+        complete_to = min(newer[count - 1].revision, self._revision)
+        return Changes(after, max(after, complete_to), newer[:count])
 
     def _merge(self, items: Iterable[PublishedItem]) -> list[PublishedItem]:
         changed = []
@@ -115,3 +117,18 @@
             self._forgotten_revision = max(self._forgotten_revision, revision)
             del self._items[key]
         return changed
+
+
+def _count_within(items: Sequence[PublishedItem], limit_bytes: int) -> int:
+    """Return how many of the items, sorted by revision, fit the limits.
+
+    At least the items of the first revision do.
+    """
+    size = 0
+    for count, item in enumerate(items):
+        size += item_size(item)
+        if size <= limit_bytes and count < CHANGES_MAX_ITEMS:
+            continue
+        if count and item.revision != items[count - 1].revision:
+            return count
+    return len(items)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 
 from egrethook.addresses import Address
+from egrethook.balancers.gossip_codec import Delta, decode, encode
 from egrethook.discovery.catalog import Catalog
 from egrethook.discovery.follower import BATCH_DELAY_S, RegistryFollower
 from egrethook.discovery.http_client import HttpClient
@@ -78,6 +79,33 @@
     assert catalog.changes_since(0, 120).revision <= 2
 
 
+def test_items_that_a_snapshot_deletes_at_once_are_not_separated():
+    """Guards against lost deletions: they have one revision, and none is above it."""
+    source, target = Catalog(), Catalog()
+    before = Snapshot([item(f"up-{n}", n) for n in range(1, 100)], 100)
+    for catalog in (source, target):
+        catalog.merge_snapshot(before)
+    source.merge_snapshot(Snapshot([], 120))
+    source.merge_changes(Changes(120, 121, [item("up-new", 121)]))
+    while target.revision < source.revision:
+        target.merge_changes(source.changes_since(target.revision, 100))
+    assert names(target) == names(source) == {"up-new"}
+
+
+def test_many_deleted_items_fit_a_message():
+    """Guards against a delta of more items than its receivers accept."""
+    count = 4_600
+    source, target = Catalog(), Catalog()
+    items = [item(f"up-{n}", n) for n in range(1, count + 1)]
+    for catalog in (source, target):
+        catalog.merge_snapshot(Snapshot(items, count))
+    source.merge_snapshot(Snapshot([], count + 1))
+    delta = Delta(source.changes_since(target.revision, 1_000_000), 0.0)
+    target.merge_changes(decode(encode(delta)).changes)
+    assert names(target) == set()
+    assert target.revision == count + 1
+
+
 @given(st.integers(0, 2**32))
 def test_replicas_that_exchange_deltas_in_any_order_agree(seed):
     rng = random.Random(seed)
