Keep an item deleted that a restarted process doesn't hold

What callers would see: after a restart of a process, a server that had left is in use again (reported by other operators; shown here with a test).

Change: an item that isn't held although the held revision covers it was deleted since; changes don't bring it back.

Measured: the new test failed before and passes now, with the random exchanges of test_replicas_that_exchange_deltas_in_any_order_agree.

--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -66,9 +66,15 @@
         """Merge changes and return the items that changed.
 
         Changes that start after the held revision are merged too, but leave a
-        gap and so do not advance `revision`.
+        gap and so do not advance `revision`. An item that is not held although its
+        revision is covered was deleted since, and stays so: its tombstone may have
+        been dropped, or never have been received, as after a snapshot.
         """
-        changed = self._merge(changes.items)
+        changed = self._merge(
+            item
+            for item in changes.items
+            if item.revision > self._revision or (item.kind, item.name) in self._items
+        )
         if changes.after <= self._revision:
             self._revision = max(self._revision, changes.revision)
         return changed
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -79,6 +79,22 @@
     assert catalog.changes_since(0, 120).revision <= 2
 
 
+def test_deleted_item_does_not_come_back_after_a_restart():
+    """Guards against a server that has left and is in use again.
+
+    The new process has a snapshot without the item, and no tombstone; another member
+    still passes on the item's last record.
+    """
+    restarted = Catalog()
+    restarted.merge_snapshot(Snapshot([item("b", 2)], 9))
+    stale = Changes(0, 5, [item("a", 3), item("b", 2)])
+    assert restarted.merge_changes(stale) == []
+    assert names(restarted) == {"b"}
+    # A new registration under the same name is a later change.
+    restarted.merge_changes(Changes(9, 10, [item("a", 10)]))
+    assert names(restarted) == {"a", "b"}
+
+
 def test_items_that_a_snapshot_deletes_at_once_are_not_separated():
     """Guards against lost deletions: they have one revision, and none is above it."""
     source, target = Catalog(), Catalog()
