--- a/egrethook/platform/store_reading.py
+++ b/egrethook/platform/store_reading.py
@@ -87,11 +87,13 @@
             If the response is an error or is not valid, or there are too many pages.
         """
         body = _decode(_RANGE_DECODER, response)
+        if body.has_more and not body.items:
+            raise SourceUnavailableError("the store returned an empty page of several")
         if self._revision is None:
             self._revision = body.current_rev
         self._items += _items(body.items)
         self._pages += 1
-        self._complete = not body.has_more or not body.items
+        self._complete = not body.has_more
         if body.items:
             self._after = body.items[-1].key
         if self._pages > MAX_PAGES:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -205,6 +205,15 @@
     ]
 
 
+def test_empty_page_before_the_last_one_is_a_failed_read():
+    """Guards against a snapshot that is cut off and deletes all that it lacks."""
+    reading = RangeReading()
+    reading.take(page(event("servers/i-1", 5, SERVER), more=True))
+    with pytest.raises(SourceUnavailableError):
+        reading.take(page(more=True))
+    assert not reading.complete
+
+
 def test_watch_returns_changes_and_deletions_of_known_keys():
     events = [
         event("servers/i-1", 11, SERVER),
