Reset an open flow only on evidence that is fresh

Cause: a retransmission that was seen once counted until an answer was seen here, also when the router sent the flow elsewhere; unanswered openings from before the upstream's latest answer counted; and without openings a single lost packet was enough.

Change: a silence counts only while callers retransmit, openings only since the last sign of life, and without openings a second retransmission confirms the first.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -392,7 +392,7 @@
         if flow.is_new_data(segment):
             flow.record_request(segment, now)
         elif flow.is_retransmission(segment, now):
-            self._health.note_stalled_request(flow.tried[0], flow.sent_at)
+            self._health.note_stalled_request(flow.tried[0], flow.sent_at, now)
         if not flow.is_busy:
             self._queues.serve(flow.service, now)
 
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -43,6 +43,19 @@
 Callers have retransmitted the request three times by then.
 """
 
+CONFIRMED_STALL_S = 0.5
+"""Age of an unanswered request at which a retransmission confirms it, in seconds.
+
+The caller has retransmitted it before; its flow still goes through this balancer.
+"""
+
+STALL_MEMORY_S = 2.0
+"""Time without retransmissions after which a silence proves nothing, in seconds.
+
+Callers retransmit at least every 1.6 s. If none does any more, the answers have arrived
+or the flows go through another balancer, which hides the upstream's answers from here.
+"""
+
 SETTLING_S = 3.0
 """Time after a start or a suspension in which no upstream is gone, in seconds.
 
@@ -136,7 +149,9 @@
         upstream.alive_at = now
         upstream.stalled_since = None
 
-    def note_stalled_request(self, upstream: Upstream, sent_at: float) -> None:
+    def note_stalled_request(
+        self, upstream: Upstream, sent_at: float, now: float
+    ) -> None:
         """Record that a caller has retransmitted a request.
 
         Parameters
@@ -144,8 +159,9 @@
         sent_at : float
             When the request was first sent, in seconds.
         """
-        if upstream.stalled_since is None:
+        if upstream.stalled_since is None or _has_lapsed(upstream, now):
             upstream.stalled_since = max(sent_at, upstream.alive_at)
+        upstream.stall_seen_at = now
 
     def note_interruption(self, now: float) -> None:
         """Start afresh: this process has started or been paused."""
@@ -155,7 +171,8 @@
         """Return whether an upstream shows no sign of life any more.
 
         Requests on its open flows are unanswered although they were retransmitted, and
-        so are openings. One that only refuses new flows, or is slow, is not gone.
+        so are openings since its last answer of any kind. One that only refuses new
+        flows, or is slow, is not gone.
 
         Parameters
         ----------
@@ -164,10 +181,18 @@
         """
         if upstream.stalled_since is None or now - self._started_at < SETTLING_S:
             return False
+        if _has_lapsed(upstream, now):
+            return False
         stalled_s = now - upstream.stalled_since
         if gets_openings:
-            return upstream.ejected and stalled_s >= GONE_AFTER_S
-        return stalled_s >= GONE_WITHOUT_OPENINGS_S
+            refuses_openings = (
+                upstream.ejected
+                and upstream.last_unanswered_at > upstream.alive_at
+                and now - upstream.last_unanswered_at <= UNANSWERED_MEMORY_S
+            )
+            return refuses_openings and stalled_s >= GONE_AFTER_S
+        confirmed_s = upstream.stall_seen_at - upstream.stalled_since
+        return confirmed_s >= CONFIRMED_STALL_S and stalled_s >= GONE_WITHOUT_OPENINGS_S
 
     def domain_silent_since(self, domain: str) -> float | None:
         """Return since when a failure domain leaves openings unanswered, if it does.
@@ -242,3 +267,8 @@
     def _notify(self, upstream: Upstream, observation: HealthObservation) -> None:
         if self._listener is not None:
             self._listener(upstream, observation)
+
+
+def _has_lapsed(upstream: Upstream, now: float) -> bool:
+    """Return whether no caller has retransmitted a request for `STALL_MEMORY_S`."""
+    return now - upstream.stall_seen_at > STALL_MEMORY_S
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -60,6 +60,8 @@
     stalled_since : float or None
         When a request was sent that its caller has retransmitted, or `alive_at` if that
         is later, in seconds; None if there is none or the upstream has answered since.
+    stall_seen_at : float
+        When a caller last retransmitted such a request, in seconds.
     service_time_s : float
         Moving average of service times, in seconds; 0.0 before the first answer.
     gone_at : float or None
@@ -86,6 +88,7 @@
         "name",
         "service",
         "service_time_s",
+        "stall_seen_at",
         "stalled_since",
         "token",
         "unanswered",
@@ -109,6 +112,7 @@
         self.last_served_at = float("-inf")
         self.alive_at = float("-inf")
         self.stalled_since: float | None = None
+        self.stall_seen_at = float("-inf")
         self.checked_at = float("-inf")
         self.ejected = False
         self.ejected_until = float("-inf")
--- a/tests/test_open_flows.py
+++ b/tests/test_open_flows.py
@@ -155,3 +155,33 @@
     harness.sent()
     harness.dispatcher.handle(packet(3000, SYN), 1.4)
     assert harness.sent() == []
+
+
+def test_old_silence_does_not_reset_flows_that_come_back_to_this_balancer():
+    """Guards against FLOW: flows of a live upstream that are reset.
+
+    The upstream was silent, and meanwhile the router sent its flows elsewhere, so that
+    its answers weren't seen here. Later one of them comes back.
+    """
+    harness = harness_with_open_flows()
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    leave_openings_unanswered(harness, 1.0)
+    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
+    harness.advance(5.0)
+    harness.port.to_callers.clear()
+    flow_request(harness, 2002, "a", 5.0, sequence=11, ack=100)
+    # Its request is lost on the way, and the next copy arrives.
+    flow_request(harness, 2002, "a", 5.2, sequence=11, ack=100)
+    harness.advance(5.3)
+    assert reset_callers(harness) == []
+
+
+def test_flows_of_a_draining_upstream_stay_after_one_of_them_has_moved_away():
+    """Guards against FLOW: a moved flow's retransmission that no answer outdates."""
+    harness = harness_with_open_flows()
+    harness.put(ItemKind.DOMAIN_OUT, "zone-a", upstream_record("any", "zone-a"))
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
+    harness.advance(6.0)
+    flow_request(harness, 2001, "a", 6.0, sequence=11, ack=100)
+    assert reset_callers(harness) == []
