Let the soak report its own stalls and errors that were survived

And an ErrorBoundary could hide a fault.

Change: the report has the longest stall of the soak's tasks, the test prints it with the folder of the logs, and a log with an unexpected error is a violation.

Measured: the new test of the check passes; test_soak.py passes.

--- a/egrethook/emulator/soak/fleet.py
+++ b/egrethook/emulator/soak/fleet.py
@@ -20,6 +20,7 @@
 from egrethook.addresses import Address
 from egrethook.emulator.soak.peers import Violation, rendezvous
 from egrethook.emulator.soak.proxy import FaultyProxy
+from egrethook.error_boundary import UNEXPECTED_ERROR
 
 REPOSITORY_ROOT = Path(__file__).parents[3]
 FORWARDER_SCRIPT = REPOSITORY_ROOT / "deploy" / "forwarder.py"
@@ -133,6 +134,7 @@
     ) -> None:
         for vm in self._vms:
             self.kill(vm)
+        self._check_logs()
         with anyio.CancelScope(shield=True):
             await self._client.aclose()
 
@@ -210,6 +212,13 @@
         if vm.process is not None and vm.process.poll() is None:
             vm.process.send_signal(number)
 
+    def _check_logs(self) -> None:
+        """Record a violation for each log with an error that a process survived."""
+        for path in sorted(self._folder.glob("*.log")):
+            if UNEXPECTED_ERROR in path.read_text(errors="replace"):
+                what = f"{path.stem} logged an unexpected error"
+                self._violations.append(Violation(time.monotonic(), "error", what))
+
     def check_processes(self) -> None:
         """Record a violation for each process that has ended by itself.
 
--- a/egrethook/emulator/soak/run.py
+++ b/egrethook/emulator/soak/run.py
@@ -49,6 +49,9 @@
 ANSWERED_SHARE_TARGET = 0.95
 """Minimum share of requests answered after recovery."""
 
+STALL_CHECK_INTERVAL_S = 0.05
+"""Interval between checks for stalls of the soak itself, in seconds."""
+
 
 @dataclass(frozen=True)
 class SoakOptions:
@@ -90,6 +93,9 @@
         The guarantees that were violated.
     folder : Path or None
         Folder of the settings files and logs.
+    longest_stall_s : float
+        Longest time for which the soak's own tasks did not run, in seconds. Callers and
+        upstreams stand still meanwhile.
     """
 
     seed: int
@@ -99,6 +105,7 @@
     faults: list[str] = field(default_factory=list)
     violations: list[Violation] = field(default_factory=list)
     folder: Path | None = None
+    longest_stall_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -179,6 +186,7 @@
     async def _start(self, tasks: TaskGroup) -> None:
         listener = bind_http(self._store_address)
         tasks.start_soon(serve_http, self._store.app(), listener)
+        tasks.start_soon(self._measure_stalls)
         for vm in self._fleet.vms:
             tasks.start_soon(vm.proxy.run)
         self._publish_routes()
@@ -267,6 +275,13 @@
             if upstream.token == token
         )
 
+    async def _measure_stalls(self) -> None:
+        while True:
+            woken_at = time.monotonic() + STALL_CHECK_INTERVAL_S
+            await anyio.sleep(STALL_CHECK_INTERVAL_S)
+            stall_s = time.monotonic() - woken_at
+            self._report.longest_stall_s = max(self._report.longest_stall_s, stall_s)
+
     # Load and faults -------------------------------------------------------------
 
     async def _run_load_and_faults(self, tasks: TaskGroup) -> None:
--- a/egrethook/error_boundary.py
+++ b/egrethook/error_boundary.py
@@ -7,6 +7,9 @@
 
 from egrethook.logs import PartLog
 
+UNEXPECTED_ERROR = "unexpected error"
+"""Beginning of the log message of each error that a boundary stops."""
+
 
 class ErrorBoundary:
     """Logs and counts unexpected errors, so that a loop goes on with its next step.
@@ -45,7 +48,7 @@
         """
         ErrorBoundary._total += 1
         self._log.alarm(
-            "unexpected error; this step is skipped.",
+            f"{UNEXPECTED_ERROR}; this step is skipped.",
             step=self._step,
             error=f"{type(error).__name__}: {error}"[:200],
             raised_at=_origin(error),
--- a/egrethook/operators/trial_commands.py
+++ b/egrethook/operators/trial_commands.py
@@ -82,7 +82,8 @@
         self.line(
             f"seed {report.seed}: {report.answered} of {report.requests} answered,"
             f" {report.answered_share_after_recovery:.1%} after the faults,"
-            f" {len(report.violations)} violations; logs in {report.folder}"
+            f" {len(report.violations)} violations, longest stall"
+            f" {report.longest_stall_s:.2f} s; logs in {report.folder}"
         )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,7 @@
 from egrethook.emulator.soak.fleet import SoakFleet, SoakVm
 from egrethook.emulator.soak.peers import CALM_TIME_S, PacketUpstream
 from egrethook.emulator.soak.run import Soak, SoakOptions
+from egrethook.error_boundary import UNEXPECTED_ERROR
 
 REGRESSION_SEEDS = {
     9: "SIGTERM while libraries were loading ended the process with -15",
@@ -43,6 +44,9 @@
                 tasks.start_soon(soak, seed)
 
     anyio.run(soak_all)
+    for seed, report in reports.items():
+        stall_s = f"{report.longest_stall_s:.2f}"
+        print(f"seed {seed}: longest stall {stall_s} s, logs in {report.folder}")
     assert {seed: report.violations for seed, report in reports.items()} == {
         1: [],
         **dict.fromkeys(REGRESSION_SEEDS, []),
@@ -69,6 +73,21 @@
     assert not any(Path(f"/proc/{number}").exists() for number in children)
 
 
+def test_error_that_a_process_survived_is_a_violation(tmp_path):
+    violations = []
+    (tmp_path / "vm-0-1.log").write_text('{"message": "start: the process starts."}')
+    (tmp_path / "vm-0-2.log").write_text(f'{{"message": "flows: {UNEXPECTED_ERROR}"}}')
+
+    async def end_soak():
+        async with SoakFleet([], tmp_path, violations):
+            pass
+
+    anyio.run(end_soak)
+    assert [violation.what for violation in violations] == [
+        "vm-0-2 logged an unexpected error"
+    ]
+
+
 class EndedProcess:
     def __init__(self, returncode):
         self.returncode = returncode
