Limit the descriptors of a test's process from outside

Cause: the harness set the limit in preexec_fn, which runs between fork and exec of a test process that has threads; once, in a run of the whole suite, the child hung there for 8 minutes until it was ended. The program wasn't involved.

Change: prlimit on the started process, before it has loaded its modules.

--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -74,16 +74,15 @@
     path = tmp_path / "node"
     path.write_text(json.dumps(settings))
 
-    def limit_files():
-        resource.setrlimit(resource.RLIMIT_NOFILE, (max_files, max_files))
-
     process = subprocess.Popen(
         [sys.executable, "deploy/forwarder.py"],
         env={**os.environ, "EGRETHOOK_CONFIG": str(path), "PYTHONPATH": os.getcwd()},
         stdout=subprocess.PIPE,
-        preexec_fn=limit_files if max_files else None,
     )
     try:
+        if max_files:
+            limits = max_files, max_files
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
         read_until(process, first_line)
         yield RunningForwarder(process, settings)
     finally:
