Check excluded upstreams while the soak's VMs are still undisturbed

Measured: test_soak.py and test_discovery.py pass; the new test of the check has the cases that count and those that don't.

--- a/egrethook/emulator/soak/run.py
+++ b/egrethook/emulator/soak/run.py
@@ -7,28 +7,27 @@
 import signal
 import tempfile
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
 from egrethook.addresses import Address
 from egrethook.callers.segments import IPv4Endpoint
-from egrethook.emulator.soak.fleet import PROXY_OFFSET, SoakFleet, SoakVm, sample_vms
+from egrethook.emulator.soak.faults import DOMAINS, SoakFaults, register_upstream
+from egrethook.emulator.soak.fleet import PROXY_OFFSET, SoakFleet, SoakVm
 from egrethook.emulator.soak.peers import (
     PacketCaller,
     PacketUpstream,
     Violation,
     host_number,
 )
-from egrethook.emulator.soak.proxy import FaultyProxy, ProxyMode
+from egrethook.emulator.soak.proxy import FaultyProxy
 from egrethook.emulator.soak.store import StoreEmulator
 from egrethook.httpserver import bind_http, serve_http
 
-DOMAINS = ("zone-a", "zone-b", "zone-c")
 SERVICES = ("orders", "charts")
 
 STARTUP_WAIT_S = 4.0
@@ -37,12 +36,6 @@
 RECOVERY_TIMEOUT_S = 12.0
 """Time after the last fault in which service must recover, in seconds."""
 
-DRAIN_TIMEOUT_S = 3.0
-"""Time after which a draining upstream must get no openings, in seconds."""
-
-EVACUATION_TIMEOUT_S = 5.0
-"""Time after which an evacuated failure domain must get no openings, in seconds."""
-
 FINAL_REQUESTS_WAIT_S = 5.0
 """Time that the last requests are given to end, in seconds."""
 
@@ -108,16 +101,6 @@
     longest_stall_s: float = 0.0
 
 
-@dataclass(frozen=True)
-class _Exclusion:
-    """Upstreams that must get no openings between two times."""
-
-    rule: str
-    names: frozenset[str]
-    since: float
-    until: float
-
-
 class Soak:
     """Runs one soak.
 
@@ -141,7 +124,6 @@
         self._second_octet = 10 + options.seed % 200
         self._upstreams: dict[str, PacketUpstream] = {}
         self._callers: list[tuple[str, PacketCaller]] = []
-        self._exclusions: list[_Exclusion] = []
         self._configuration_version = 1
         self._load_began_at = 0.0
         self._generating_load = True
@@ -158,10 +140,14 @@
             anyio.create_task_group() as tasks,
         ):
             self._fleet = fleet
+            self._faults = SoakFaults(
+                self._rng, fleet, self._store, self._upstreams, self._publish_routes
+            )
             await self._start(tasks)
             await self._run_load_and_faults(tasks)
+            # Before the fleet ends, which disturbs its VMs.
+            self._violations += self._faults.exclusion_violations()
             tasks.cancel_scope.cancel()
-        self._check_exclusions()
         return self._report
 
     # Set up ----------------------------------------------------------------------
@@ -238,23 +224,7 @@
         )
         self._upstreams[name] = upstream
         tasks.start_soon(upstream.run)
-        self._register(upstream, "ready")
-
-    def _register(self, upstream: PacketUpstream, state: str) -> None:
-        self._store.put(
-            f"servers/{upstream.name}",
-            {
-                "service": upstream.service,
-                "address": str(upstream.address),
-                "zone": upstream.domain,
-                "version": "1",
-                "concurrency": 2,
-                "state": state,
-                "warmupLeftMs": 0,
-                "sequence": 1,
-                "born": upstream.started_ms,
-            },
-        )
+        register_upstream(self._store, upstream, "ready")
 
     def _add_caller(self, tasks: TaskGroup, number: int, domain: str) -> None:
         caller = PacketCaller(
@@ -290,7 +260,7 @@
         tasks.start_soon(self._generate_load, tasks)
         async with anyio.create_task_group() as faults:
             while time.monotonic() < faults_end:
-                name, fault = self._rng.choice(self._fault_kinds())
+                name, fault = self._rng.choice(self._faults.kinds)
                 line = f"{time.monotonic() - self._load_began_at:6.1f} s {name}"
                 self._report.faults.append(line)
                 self._print_line(line)
@@ -330,154 +300,6 @@
             )
             self._violations.append(Violation(time.monotonic(), "recover", what))
 
-    def _check_exclusions(self) -> None:
-        """Record a violation for each opening that an excluded upstream got.
-
-        Openings through a VM that was disturbed shortly before or later do not count.
-        """
-        by_host = {vm.host: vm for vm in self._fleet.vms}
-        for exclusion in self._exclusions:
-            for name in exclusion.names:
-                for at, host in self._upstreams[name].openings:
-                    is_excluded = exclusion.since < at < exclusion.until
-                    if is_excluded and by_host[host].undisturbed_since(at):
-                        what = f"{name} got an opening through {by_host[host].name}"
-                        what += f" {at - exclusion.since:.1f} s after the timeout"
-                        self._violations.append(Violation(at, exclusion.rule, what))
-
-    def _fault_kinds(self) -> list[tuple[str, Callable[[], Coroutine[Any, Any, None]]]]:
-        return [
-            ("kill", self._kill_vm),
-            ("kill many", self._kill_most_vms),
-            ("pause", self._pause_vm),
-            ("terminate", self._terminate_vm),
-            ("reload", self._reload_settings),
-            ("proxies delay", lambda: self._disturb_some_proxies(ProxyMode.DELAY)),
-            ("proxies reset", lambda: self._disturb_some_proxies(ProxyMode.RESET)),
-            ("proxies one way", lambda: self._disturb_some_proxies(ProxyMode.ONE_WAY)),
-            ("proxies silent", lambda: self._disturb_some_proxies(ProxyMode.SILENT)),
-            ("store unreachable", self._cut_off_store),
-            ("store history lost", self._lose_store_history),
-            ("configuration", self._change_configuration),
-            ("upstream draining", self._drain_upstream),
-            ("upstream unresponsive", self._silence_upstream),
-            ("domain evacuated", self._evacuate_domain),
-        ]
-
-    def _random_vm(self) -> SoakVm:
-        return self._rng.choice(self._fleet.vms)
-
-    async def _kill_vm(self) -> None:
-        await self._kill_and_restart([self._random_vm()])
-
-    async def _kill_most_vms(self) -> None:
-        await self._kill_and_restart(sample_vms(self._rng, self._fleet.vms, 0.7))
-
-    async def _kill_and_restart(self, vms: list[SoakVm]) -> None:
-        running = [vm for vm in vms if not vm.expected_down]
-        for vm in running:
-            self._fleet.kill(vm)
-        await anyio.sleep(self._rng.uniform(0.2, 1.5))
-        for vm in running:
-            self._fleet.start(vm)
-
-    async def _pause_vm(self) -> None:
-        vm = self._random_vm()
-        vm.mark_disturbed()
-        self._fleet.signal(vm, signal.SIGSTOP)
-        await anyio.sleep(self._rng.uniform(0.5, 3.0))
-        self._fleet.signal(vm, signal.SIGCONT)
-        vm.mark_disturbed()
-
-    async def _terminate_vm(self) -> None:
-        vm = self._random_vm()
-        if vm.expected_down:
-            return
-        await self._fleet.terminate(vm)
-        self._fleet.start(vm)
-
-    async def _reload_settings(self) -> None:
-        for vm in sample_vms(self._rng, self._fleet.vms, 0.5):
-            self._fleet.write_settings(vm, flow_limit=self._rng.randrange(2, 6))
-            if self._rng.random() < 0.5:
-                self._fleet.signal(vm, signal.SIGHUP)
-
-    async def _disturb_some_proxies(self, mode: ProxyMode) -> None:
-        chosen = sample_vms(self._rng, self._fleet.vms, self._rng.choice((0.2, 0.6)))
-        await self._apply_proxy_mode(chosen, mode)
-
-    async def _cut_off_store(self) -> None:
-        await self._apply_proxy_mode(self._fleet.vms, ProxyMode.RESET)
-
-    async def _apply_proxy_mode(self, vms: list[SoakVm], mode: ProxyMode) -> None:
-        for vm in vms:
-            vm.mark_disturbed()
-            await vm.proxy.set_mode(mode)
-        await anyio.sleep(self._rng.uniform(1.0, 4.0))
-        for vm in vms:
-            await vm.proxy.set_mode(ProxyMode.PASS)
-            vm.mark_disturbed()
-
-    async def _lose_store_history(self) -> None:
-        self._store.clear_history()
-
-    async def _change_configuration(self) -> None:
-        self._publish_routes()
-
-    def _choose_spare_upstream(self) -> PacketUpstream | None:
-        """Return a random upstream that its service can spare, or None.
-
-        At least two other upstreams of the service must respond.
-        """
-        for upstream in self._rng.sample(
-            list(self._upstreams.values()), len(self._upstreams)
-        ):
-            responsive = [
-                other
-                for other in self._upstreams.values()
-                if other.service == upstream.service and not other.unresponsive
-            ]
-            if len(responsive) > 2 and upstream in responsive:
-                return upstream
-        return None
-
-    async def _drain_upstream(self) -> None:
-        upstream = self._choose_spare_upstream()
-        if upstream is None:
-            return
-        self._register(upstream, "draining")
-        since = time.monotonic() + DRAIN_TIMEOUT_S
-        await anyio.sleep(DRAIN_TIMEOUT_S + 3.0)
-        self._record_exclusion("drain", {upstream.name}, since)
-        self._register(upstream, "ready")
-
-    async def _silence_upstream(self) -> None:
-        upstream = self._choose_spare_upstream()
-        if upstream is None:
-            return
-        upstream.unresponsive = True
-        await anyio.sleep(self._rng.uniform(1.0, 4.0))
-        upstream.unresponsive = False
-
-    async def _evacuate_domain(self) -> None:
-        domain = self._rng.choice(DOMAINS)
-        key = f"op/evacuate/{domain}"
-        self._store.put(key, {})
-        since = time.monotonic() + EVACUATION_TIMEOUT_S
-        names = {
-            upstream.name
-            for upstream in self._upstreams.values()
-            if upstream.domain == domain
-        }
-        await anyio.sleep(EVACUATION_TIMEOUT_S + 3.0)
-        self._record_exclusion("evacuation", names, since)
-        self._store.delete(key)
-
-    def _record_exclusion(self, rule: str, names: set[str], since: float) -> None:
-        """Exclude upstreams from openings from a time in the past until now."""
-        until = time.monotonic()
-        self._exclusions.append(_Exclusion(rule, frozenset(names), since, until))
-
 
 async def run_until_signal(soak: Soak) -> SoakReport | None:
     """Run a soak; on SIGTERM or SIGINT, end its processes and return None."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -251,6 +251,22 @@
     assert source.calls == [("close",)]
 
 
+def run_with_server(server, check):
+    """Run a check of a client whose server handles each connection."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            tasks.start_soon(listener.serve, server)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            client = HttpClient(Address("127.0.0.1", port))
+            await check(client)
+            await client.aclose()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 def test_slow_response_succeeds_while_it_makes_progress():
     body = b"x" * 400
 
@@ -263,18 +279,11 @@
                 await anyio.sleep(0.1)
                 await stream.send(body[start : start + 100])
 
-    async def run():
-        async with anyio.create_task_group() as tasks:
-            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-            tasks.start_soon(listener.serve, slow_server)
-            port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            client = HttpClient(Address("127.0.0.1", port))
-            response = await client.get("/kv-range", 0.2)
-            assert response.body == body
-            await client.aclose()
-            tasks.cancel_scope.cancel()
+    async def check(client):
+        response = await client.get("/kv-range", 0.2)
+        assert response.body == body
 
-    anyio.run(run)
+    run_with_server(slow_server, check)
 
 
 def test_silent_server_causes_timeout_error():
@@ -282,17 +291,11 @@
         async with stream:
             await anyio.sleep_forever()
 
-    async def run():
-        async with anyio.create_task_group() as tasks:
-            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-            tasks.start_soon(listener.serve, silent_server)
-            port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            client = HttpClient(Address("127.0.0.1", port))
-            with pytest.raises(SourceUnavailableError):
-                await client.get("/kv-range", 0.2)
-            tasks.cancel_scope.cancel()
+    async def check(client):
+        with pytest.raises(SourceUnavailableError):
+            await client.get("/kv-range", 0.2)
 
-    anyio.run(run)
+    run_with_server(silent_server, check)
 
 
 LENGTH = b"Content-Length: 4\r\n"
@@ -324,19 +327,12 @@
                 if closes:
                     return
 
-    async def run():
-        async with anyio.create_task_group() as tasks:
-            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-            tasks.start_soon(listener.serve, server)
-            port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            client = HttpClient(Address("127.0.0.1", port))
-            for _ in range(3):
-                response = await client.get("/kv-range", 1.0)
-                assert response.body == b"body"
-            await client.aclose()
-            tasks.cancel_scope.cancel()
+    async def check(client):
+        for _ in range(3):
+            response = await client.get("/kv-range", 1.0)
+            assert response.body == b"body"
 
-    anyio.run(run)
+    run_with_server(server, check)
     assert len(connections) == (3 if closes else 1)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 import subprocess
 import sys
@@ -16,6 +17,7 @@
 import pytest
 
 from egrethook.addresses import Address
+from egrethook.emulator.soak.faults import SoakFaults, _Exclusion
 from egrethook.emulator.soak.fleet import SoakFleet, SoakVm
 from egrethook.emulator.soak.peers import CALM_TIME_S, PacketUpstream
 from egrethook.emulator.soak.run import Soak, SoakOptions
@@ -88,6 +90,22 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("opened_at", "disturbed_at", "is_violation"),
+    [(15.0, 0.0, True), (5.0, 0.0, False), (25.0, 0.0, False), (15.0, 14.0, False)],
+)
+def test_opening_of_an_excluded_upstream_is_a_violation(
+    opened_at, disturbed_at, is_violation
+):
+    vm = SoakVm("vm-0", "a", "127.0.0.1", 1, proxy=None, disturbed_at=disturbed_at)
+    upstream = PacketUpstream("i-1", "a", "a", Address("127.0.0.1", 1), 1, [])
+    upstream.openings.append((opened_at, vm.host))
+    fleet = SoakFleet([vm], Path(), [])
+    faults = SoakFaults(random.Random(1), fleet, None, {"i-1": upstream}, None)
+    faults._exclusions.append(_Exclusion("drain", frozenset({"i-1"}), 10.0, 20.0))
+    assert bool(faults.exclusion_violations()) == is_violation
+
+
 class EndedProcess:
     def __init__(self, returncode):
         self.returncode = returncode
