--- a/egrethook/datagrams.py
+++ b/egrethook/datagrams.py
@@ -26,7 +26,6 @@
 SOCKET_BUFFER_BYTES = 4 * 2**20
 """Requested size of the kernel's send and receive buffers, in bytes."""
 
-
 BIND_TIMEOUT_S = 10.0
 """Longest wait for an address that another socket holds, in seconds.
 
