--- a/tests/test_error_boundary.py
+++ b/tests/test_error_boundary.py
@@ -158,7 +158,7 @@
 
 
 def test_follower_reads_a_snapshot_after_an_unexpected_error(errors):
-    """Guards against a reader that ends, or stops following the registry (LOST)."""
+    """Guards against a reader that ends, or stops following the registry."""
     replica = Replica(lambda items, previous_revision: None)
     source = FakeSource(
         Snapshot([published_item("a", 3)], 3),
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -284,7 +284,10 @@
 
 
 def test_incomplete_entry_moves_no_upstream_to_another_service():
-    """Guards against ROUTE: a known endpoint's entry is written over by another."""
+    """Guards against requests at a wrong service.
+
+    Another writer has written over the entry of a known endpoint.
+    """
     incomplete = {
         name: part
         for name, part in ENTRY.items()
--- a/tests/test_open_flows.py
+++ b/tests/test_open_flows.py
@@ -158,7 +158,7 @@
 
 
 def test_old_silence_does_not_reset_flows_that_come_back_to_this_balancer():
-    """Guards against FLOW: flows of a live upstream that are reset.
+    """Guards against flows of a live upstream that are reset.
 
     The upstream was silent, and meanwhile the router sent its flows elsewhere, so that
     its answers weren't seen here. Later one of them comes back.
@@ -177,7 +177,7 @@
 
 
 def test_flows_of_a_draining_upstream_stay_after_one_of_them_has_moved_away():
-    """Guards against FLOW: a moved flow's retransmission that no answer outdates."""
+    """Guards against a moved flow's retransmission that no answer outdates."""
     harness = harness_with_open_flows()
     harness.put(ItemKind.DOMAIN_OUT, "zone-a", upstream_record("any", "zone-a"))
     flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -38,7 +38,7 @@
 
 
 def test_repeated_removals_do_not_prolong_the_grace_period():
-    """Guards against DRAIN: an upstream that is gone but kept for ever."""
+    """Guards against an upstream that is gone but kept for ever."""
     index = index_with_answering_upstream()
     for step in range(30):
         now = 0.1 * step
