Test that a step within an import doesn't run within itself

Cause: the guard of ImportInterleaver (a step that imports, as for a key that has to be quoted, started anew in its own import) had come without a test.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -95,6 +95,28 @@
     assert not any(type(finder) is ImportInterleaver for finder in sys.meta_path)
 
 
+def test_step_that_imports_a_module_is_not_run_within_itself(tmp_path, monkeypatch):
+    """Guards against a step that starts anew while it waits for its own import."""
+    slow = "import time\ntime.sleep(0.01)\n"
+    (tmp_path / "outer_part.py").write_text(slow)
+    (tmp_path / "outer.py").write_text(slow + "import outer_part\n")
+    (tmp_path / "needed_part.py").write_text("")
+    (tmp_path / "needed.py").write_text(slow + "import needed_part\n")
+    monkeypatch.syspath_prepend(str(tmp_path))
+    running, depths = [], []
+
+    def step():
+        running.append("step")
+        depths.append(len(running))
+        import_module("needed")
+        running.pop()
+
+    with ImportInterleaver(step):
+        import_module("outer")
+    assert depths
+    assert max(depths) == 1
+
+
 def test_probes_need_no_event_loop_and_release_their_address_on_exit():
     ready = []
     address = Address("127.0.0.1", free_port())
