Say in the right place that changes of one revision stay together

Cause: found in the last read of the diff, the sentence stood under what is returned as None. A doc comment only; no behaviour.

--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -82,6 +82,9 @@
     def changes_since(self, after: int, limit_bytes: int) -> Changes | None:
         """Return the changes after a revision, oldest first, up to a size limit.
 
+        Changes of one revision are never separated: a snapshot deletes several items
+        at once.
+
         Parameters
         ----------
         after : int
@@ -92,8 +95,7 @@
         Returns
         -------
         Changes or None
-            None if tombstones of later revisions have been dropped. Changes of one
-            revision are never separated: a snapshot deletes several items at once.
+            None if tombstones of later revisions have been dropped.
         """
         if after < self._forgotten_revision:
             return None
