Move the forwarding process into a package beside the other front end

The five forwarder_* files and the interleaver stood at the root, which is now left to what both front ends share. Only places and names changed.

--- /dev/null
+++ b/egrethook/forwarding/__init__.py
@@ -0,0 +1,4 @@
+"""The forwarding process, a front end that passes packets on unread.
+
+The other front end is `egrethook.balancer`.
+"""
--- a/egrethook/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -20,7 +20,7 @@
 from egrethook.discovery.replica import Replica
 from egrethook.discovery.view import ForwardingView
 from egrethook.error_boundary import ErrorBoundary
-from egrethook.forwarder_settings import ForwarderSettings
+from egrethook.forwarding.settings import ForwarderSettings
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
 from egrethook.upstreams.flow_limit import AimdFlowLimit
--- a/egrethook/forwarder_metrics.py
+++ b/egrethook/forwarding/metrics.py
@@ -12,7 +12,7 @@
 )
 from prometheus_client.metrics_core import Metric
 
-from egrethook.forwarder import Forwarder
+from egrethook.forwarding.forwarder import Forwarder
 
 ProcessCounts = Callable[[], dict[str, float]]
 """Returns the counters of the tasks, by metric name without the prefix."""
--- a/egrethook/forwarder_start.py
+++ b/egrethook/forwarding/start.py
@@ -23,8 +23,8 @@
 from egrethook.discovery.records import Snapshot
 from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import HistoryLostError, SourceUnavailableError
-from egrethook.forwarder import Forwarder
-from egrethook.interleaving import ImportInterleaver
+from egrethook.forwarding.forwarder import Forwarder
+from egrethook.forwarding.interleaving import ImportInterleaver
 from egrethook.logs import PartLog
 from egrethook.operators.early_probes import EarlyProbes
 
--- a/egrethook/forwarder_tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -17,9 +17,9 @@
 from egrethook.discovery.follower import RegistryFollower
 from egrethook.discovery.records import RecordSource
 from egrethook.error_boundary import ErrorBoundary
-from egrethook.forwarder import Forwarder
-from egrethook.forwarder_settings import SettingsFile
-from egrethook.interleaving import ImportInterleaver
+from egrethook.forwarding.forwarder import Forwarder
+from egrethook.forwarding.interleaving import ImportInterleaver
+from egrethook.forwarding.settings import SettingsFile
 from egrethook.line_log import LineLog
 from egrethook.logs import PartLog
 from egrethook.operators.probes import ProbeAnswer, ProbeServer
@@ -200,7 +200,7 @@
     def _metrics_response(self) -> ProbeAnswer:
         # The metrics library loads slowly, so it is imported on the first request.
         with ImportInterleaver(self._forwarder.handle_ready_packets):
-            from egrethook.forwarder_metrics import render_metrics
+            from egrethook.forwarding.metrics import render_metrics
 
         return ProbeAnswer(200, render_metrics(self._forwarder, self._process_counts))
 
--- a/egrethook/operators/checks.py
+++ b/egrethook/operators/checks.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from egrethook.exceptions import DocumentError
-from egrethook.forwarder_settings import load_forwarder_settings
+from egrethook.forwarding.settings import load_forwarder_settings
 from egrethook.published.documents import Document, load_yaml, validate
 from egrethook.settings import parse_settings, read_text
 
--- a/egrethook/operators/reference.py
+++ b/egrethook/operators/reference.py
@@ -14,7 +14,7 @@
     UpstreamSettings,
 )
 from egrethook.exceptions import DocumentError, error_classes
-from egrethook.forwarder_settings import ForwarderSettings
+from egrethook.forwarding.settings import ForwarderSettings
 from egrethook.published import documents
 from egrethook.settings import BalancerSettings
 from egrethook.verdicts import Refusal, Verdict
--- a/egrethook/platform/daemon.py
+++ b/egrethook/platform/daemon.py
@@ -13,9 +13,9 @@
 from egrethook.addresses import Address
 from egrethook.datagrams import bind_when_free
 from egrethook.exceptions import EgrethookError
-from egrethook.forwarder import Forwarder
-from egrethook.forwarder_settings import await_forwarder_settings
-from egrethook.forwarder_start import StartupLoop
+from egrethook.forwarding.forwarder import Forwarder
+from egrethook.forwarding.settings import await_forwarder_settings
+from egrethook.forwarding.start import StartupLoop
 from egrethook.line_log import LineLog
 from egrethook.logs import set_destination
 from egrethook.platform.packet_header import PacketHeader
@@ -31,7 +31,7 @@
 _DEFERRED_MODULES = (
     "anyio._backends._asyncio",
     "uvloop",
-    "egrethook.forwarder_tasks",
+    "egrethook.forwarding.tasks",
     "egrethook.platform.store_client",
 )
 """Modules that the event loop needs; imported while packets are forwarded."""
@@ -75,7 +75,7 @@
 def _serve(forwarder: Forwarder, settings_path: str, log: LineLog) -> None:
     import anyio
 
-    from egrethook.forwarder_tasks import ForwarderTasks
+    from egrethook.forwarding.tasks import ForwarderTasks
     from egrethook.platform.store_client import StoreClient
 
     source = StoreClient(Address.parse(forwarder.settings.registry))
--- a/tests/test_error_boundary.py
+++ b/tests/test_error_boundary.py
@@ -28,9 +28,9 @@
 from egrethook.discovery.view import ForwardingView
 from egrethook.emulator.flow_records import InMemoryDecoder, upstream_record
 from egrethook.error_boundary import ErrorBoundary
-from egrethook.forwarder import Forwarder
-from egrethook.forwarder_settings import ForwarderSettings
-from egrethook.forwarder_start import StartupLoop
+from egrethook.forwarding.forwarder import Forwarder
+from egrethook.forwarding.settings import ForwarderSettings
+from egrethook.forwarding.start import StartupLoop
 from egrethook.logs import PartLog, set_destination
 from egrethook.metrics import Metrics
 from egrethook.platform.packet_header import PacketHeader
@@ -186,7 +186,7 @@
     forwarder, monkeypatch, errors
 ):
     """Guards against a process that never starts because of what it reads."""
-    monkeypatch.setattr("egrethook.forwarder_start.FIRST_READ_WAIT_S", 0.0)
+    monkeypatch.setattr("egrethook.forwarding.start.FIRST_READ_WAIT_S", 0.0)
     loop = StartupLoop(forwarder, FailingReading, lambda: None)
     with socket.create_server(("127.0.0.1", 0)) as registry:
         loop._registry = Address(*registry.getsockname())
@@ -209,7 +209,7 @@
         raise OSError(24, "Too many open files")
 
     loop = StartupLoop(forwarder, FailingReading, lambda: None)
-    monkeypatch.setattr("egrethook.forwarder_start._RegistryRead", no_descriptor)
+    monkeypatch.setattr("egrethook.forwarding.start._RegistryRead", no_descriptor)
     with loop._probes:
         loop._poll_once(1)
     assert loop._retry_at > 0.0
@@ -306,7 +306,7 @@
 
 def test_reload_survives_an_unexpected_error(forwarder, tmp_path, monkeypatch, errors):
     """Guards against a settings file that ends the process which reads it again."""
-    from egrethook.forwarder_tasks import ForwarderTasks
+    from egrethook.forwarding.tasks import ForwarderTasks
     from egrethook.line_log import LineLog
 
     path = tmp_path / "node"
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -23,7 +23,7 @@
     SettingsError,
     SourceUnavailableError,
 )
-from egrethook.forwarder_settings import load_forwarder_settings
+from egrethook.forwarding.settings import load_forwarder_settings
 from egrethook.operators.explain import read_lines
 from egrethook.platform.bench_journal import read_journal
 from egrethook.platform.store_messages import StoreDecoder
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,7 +26,7 @@
     SettingsError,
     SourceUnavailableError,
 )
-from egrethook.forwarder_settings import SettingsFile, load_forwarder_settings
+from egrethook.forwarding.settings import SettingsFile, load_forwarder_settings
 from egrethook.operators.checks import check_file
 from egrethook.platform.packet_header import HEADER, PacketHeader
 from egrethook.platform.store_messages import StoreDecoder
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -23,7 +23,7 @@
 from egrethook.addresses import Address
 from egrethook.datagrams import DatagramSocket
 from egrethook.fast_import import import_with_stand_ins
-from egrethook.interleaving import ImportInterleaver
+from egrethook.forwarding.interleaving import ImportInterleaver
 from egrethook.operators.early_probes import EarlyProbes
 
 SLOW_LIBRARIES = {
