Agree on the interfaces of the parts for hard load

The parts are built side by side, so that what they exchange stands first: a selector gets one Opening, filters leave out upstreams, listeners learn from each answered request, balancers exchange outlier, speed and reach reports, and one assembly serves the forwarding process and the replays in virtual time. Optional features are switched on by the guarantees of a deployment, or listed in the settings. Tests of placement, flows, gossip, start and the adapter pass (270).

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 import anyio
 
@@ -60,6 +60,14 @@
         ...
 
 
+class MessageHandler(Protocol):
+    """Handles messages of one type."""
+
+    def __call__(self, message: Any, source: Address, /) -> None:
+        """Handle a message, given the address that it came from."""
+        ...
+
+
 class Gossip:
     """Sends digests, answers them with deltas, and pushes new changes.
 
@@ -98,7 +106,13 @@
         self._clock = clock
         self._rng = rng
         self._detect_pause = detect_pause
-        self._on_report = on_report
+        self._handlers: dict[type, MessageHandler] = {
+            Digest: self._on_digest,
+            Delta: self._on_delta,
+            UpstreamReport: lambda report, source: on_report(
+                report.token, report.observation
+            ),
+        }
         self._report_limiter = TokenBucket(REPORTS_PER_S, REPORTS_PER_S)
         self._leaving = False
         self._last_request_at = float("-inf")
@@ -189,12 +203,9 @@
             self._refused += 1
             _LOG.warning("invalid datagram dropped.", source=str(source), error=error)
             return
-        if isinstance(message, Digest):
-            self._on_digest(message)
-        elif isinstance(message, Delta):
-            self._on_delta(message, source)
-        else:
-            self._on_report(message.token, message.observation)
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message, source)
 
     def report(self, token: int, observation: HealthObservation) -> None:
         """Send an observation of an upstream to the local failure domain.
@@ -204,10 +215,21 @@
         now = self._clock.now()
         if not self._report_limiter.take(now):
             return
-        report = UpstreamReport(token, observation)
-        self._send(report, self._members.report_targets(now))
+        self.send_to_domain(UpstreamReport(token, observation))
+
+    def set_handler(self, message_type: type, handler: MessageHandler) -> None:
+        """Set what handles one type of message; others are ignored."""
+        self._handlers[message_type] = handler
+
+    def send_to_domain(self, message: GossipMessage) -> None:
+        """Send a message to the live members of the local failure domain."""
+        self._send(message, self._members.report_targets(self._clock.now()))
+
+    def send_to(self, message: GossipMessage, targets: Sequence[Address]) -> None:
+        """Send a message to some members."""
+        self._send(message, targets)
 
-    def _on_digest(self, digest: Digest) -> None:
+    def _on_digest(self, digest: Digest, source: Address) -> None:
         now = self._clock.now()
         target = digest.sender.address
         is_new = not self._members.knows(digest.sender)
--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -16,6 +16,7 @@
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem
 from egrethook.exceptions import BadMessageError
 from egrethook.upstreams.health import HealthObservation
+from egrethook.upstreams.speeds import SpeedEstimate
 from egrethook.wire.gossip import ttypes
 
 DATAGRAM_MAX_BYTES = 60_000
@@ -121,7 +122,56 @@
     observation: HealthObservation
 
 
-GossipMessage = Digest | Delta | UpstreamReport
+@dataclass(frozen=True, slots=True)
+class OutlierReport:
+    """Whether the answers of an upstream differ from those of the others.
+
+    Parameters
+    ----------
+    token : int
+        The token that packets of the upstream's flows carry.
+    is_outlier : bool
+        Whether it gets fewer openings from now on.
+    """
+
+    token: int
+    is_outlier: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SpeedReport:
+    """Estimates of how fast upstreams are.
+
+    Parameters
+    ----------
+    estimates : tuple of SpeedEstimate
+        What the sender has observed itself.
+    asks : bool
+        Whether the sender requests the receiver's estimates.
+    """
+
+    estimates: tuple[SpeedEstimate, ...]
+    asks: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReachReport:
+    """Whether a balancer reaches any upstream that may get new flows.
+
+    Parameters
+    ----------
+    age_s : float
+        Time for which this has been so, in seconds.
+    """
+
+    sender: MemberInfo
+    reaches_upstreams: bool
+    age_s: float
+
+
+GossipMessage = (
+    Digest | Delta | UpstreamReport | OutlierReport | SpeedReport | ReachReport
+)
 
 
 def encode(message: GossipMessage) -> bytes:
@@ -162,13 +212,11 @@
 
 
 def _decode_body(body: ttypes.GossipMessage) -> GossipMessage:
-    if body.digest is not None:
-        return _decode_digest(body.digest)
-    if body.delta is not None:
-        return _decode_delta(body.delta)
-    if body.report is not None:
-        return _decode_report(body.report)
-    raise ValueError("message has no digest, delta or report")
+    for field, decode_body in _DECODERS.items():
+        encoded = getattr(body, field)
+        if encoded is not None:
+            return decode_body(encoded)
+    raise ValueError("message has no known field")
 
 
 def _encode_member(member: MemberInfo) -> ttypes.MemberInfo:
@@ -265,13 +313,80 @@
     return UpstreamReport(_checked_token(encoded.token), observation)
 
 
+def _encode_outlier(report: OutlierReport) -> ttypes.OutlierReport:
+    return ttypes.OutlierReport(token=report.token, is_outlier=report.is_outlier)
+
+
+def _decode_outlier(encoded: ttypes.OutlierReport) -> OutlierReport:
+    return OutlierReport(_checked_token(encoded.token), bool(encoded.is_outlier))
+
+
+def _encode_speeds(report: SpeedReport) -> ttypes.SpeedReport:
+    estimates = [
+        ttypes.SpeedEstimate(
+            token=estimate.token,
+            time_permille=round(estimate.time_factor * 1000),
+            weight_permille=round(estimate.weight * 1000),
+        )
+        for estimate in report.estimates
+    ]
+    return ttypes.SpeedReport(estimates=estimates, asks=report.asks)
+
+
+def _decode_speeds(encoded: ttypes.SpeedReport) -> SpeedReport:
+    estimates = tuple(_decode_speed(estimate) for estimate in encoded.estimates)
+    return SpeedReport(estimates, bool(encoded.asks))
+
+
+def _decode_speed(encoded: ttypes.SpeedEstimate) -> SpeedEstimate:
+    if encoded.time_permille <= 0 or encoded.weight_permille < 0:
+        raise ValueError(
+            f"time factor {encoded.time_permille} or weight "
+            f"{encoded.weight_permille} out of range"
+        )
+    return SpeedEstimate(
+        _checked_token(encoded.token),
+        encoded.time_permille / 1000,
+        encoded.weight_permille / 1000,
+    )
+
+
+def _encode_reach(report: ReachReport) -> ttypes.ReachReport:
+    return ttypes.ReachReport(
+        sender=_encode_member(report.sender),
+        reaches_upstreams=report.reaches_upstreams,
+        age_ms=_encode_age(report.age_s),
+    )
+
+
+def _decode_reach(encoded: ttypes.ReachReport) -> ReachReport:
+    return ReachReport(
+        _decode_member(encoded.sender),
+        bool(encoded.reaches_upstreams),
+        _decode_age(encoded.age_ms),
+    )
+
+
 _ENCODERS: dict[type, tuple[str, Callable[[Any], Any]]] = {
     Digest: ("digest", _encode_digest),
     Delta: ("delta", _encode_delta),
     UpstreamReport: ("report", _encode_report),
+    OutlierReport: ("outlier", _encode_outlier),
+    SpeedReport: ("speeds", _encode_speeds),
+    ReachReport: ("reach", _encode_reach),
 }
 """Union field and body encoder of each message type."""
 
+_DECODERS: dict[str, Callable[[Any], GossipMessage]] = {
+    "digest": _decode_digest,
+    "delta": _decode_delta,
+    "report": _decode_report,
+    "outlier": _decode_outlier,
+    "speeds": _decode_speeds,
+    "reach": _decode_reach,
+}
+"""Body decoder of each union field."""
+
 _UNKNOWN_AGE_MS = -1
 
 
--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Sequence
 
 from egrethook.callers.answer_times import AnswerTimes
 from egrethook.callers.flow_output import FlowOutput
@@ -19,7 +20,8 @@
 from egrethook.logs import PartLog
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
-from egrethook.upstreams.selection import UpstreamSelector
+from egrethook.upstreams.requests import RequestListener
+from egrethook.upstreams.selection import Opening, UpstreamSelector
 from egrethook.upstreams.upstream import Upstream
 
 MAX_UPSTREAMS_PER_OPENING = 3
@@ -80,6 +82,8 @@
         Adapts the flow limit of each upstream to its service times.
     health : PassiveHealth
         Detects upstreams that do not answer openings.
+    listeners : sequence of RequestListener
+        Learn from the requests that are answered.
     """
 
     def __init__(
@@ -90,8 +94,10 @@
         selector: UpstreamSelector,
         limit: FlowLimit,
         health: PassiveHealth,
+        listeners: Sequence[RequestListener] = (),
     ) -> None:
         self._view = view
+        self._listeners = listeners
         self._codec = codec
         self._selector = selector
         self._limit = limit
@@ -255,9 +261,10 @@
     def _send_opening(self, flow: ForwardedFlow, now: float) -> bool:
         """Send an opening to an untried upstream; return False if none has capacity."""
         candidates = self._view.candidates(flow.service)
-        upstream = self._selector.choose(
-            candidates, flow.tried, flow.avoided, now, flow.can_be_on_time(now)
+        opening = Opening(
+            flow.route, flow.tried, flow.avoided, flow.can_be_on_time(now), now
         )
+        upstream = self._selector.choose(candidates, opening)
         if upstream is None:
             return False
         flow.occupy(upstream)
@@ -388,10 +395,13 @@
             self._limit.note_answer(upstream, service_s, flow.route.objective_s, now)
             self._counts.request_times.observe(service_s)
             self._health.note_progress(upstream, now)
+            for listener in self._listeners:
+                listener.request_answered(flow.outcome(segment, service_s), now)
             flow.record_answer(segment)
         if flow.is_new_data(segment):
             flow.record_request(segment, now)
         elif flow.is_retransmission(segment, now):
+            flow.note_retransmission()
             self._health.note_stalled_request(flow.tried[0], flow.sent_at, now)
         if not flow.is_busy:
             self._queues.serve(flow.service, now)
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -9,9 +9,10 @@
 
 from msgspec import Struct, field
 
-from egrethook.callers.segments import Segment, is_after
+from egrethook.callers.segments import SEQUENCE_MODULUS, Segment, is_after
 from egrethook.discovery.records import Route
 from egrethook.histogram import LatencyHistogram
+from egrethook.upstreams.requests import RequestOutcome
 from egrethook.upstreams.upstream import Upstream
 
 OPENING_TIMEOUT_S = 1.4
@@ -64,6 +65,8 @@
     _request_end: int = 0
     _request_waits: bool = False
     _acknowledged: int = 0
+    _request_start: int = 0
+    _retransmitted: bool = False
 
     @property
     def first_sent_at(self) -> float:
@@ -133,14 +136,27 @@
         self.tried = [upstream]
         self.state = FlowState.OPEN
         self.sent_at = self.last_active_at = now
+        self._request_start = segment.sequence
         self._request_end = segment.end
         self._request_waits = True
+        self._retransmitted = False
         self._acknowledged = segment.acknowledged
 
     def is_answered_by(self, segment: Segment) -> bool:
         """Return whether a packet shows that an answer has begun to arrive."""
         return self._busy and is_after(segment.acknowledged, self._acknowledged)
 
+    def outcome(self, segment: Segment, service_s: float) -> RequestOutcome:
+        """Return what a packet that acknowledges a first part of an answer shows."""
+        return RequestOutcome(
+            upstream=self.tried[0],
+            route=self.route,
+            request_bytes=(self._request_end - self._request_start) % SEQUENCE_MODULUS,
+            answer_bytes=(segment.acknowledged - self._acknowledged) % SEQUENCE_MODULUS,
+            service_s=service_s,
+            retransmitted=self._retransmitted,
+        )
+
     def record_answer(self, segment: Segment) -> None:
         """Record that the current request is answered, and mark the flow idle."""
         self._acknowledged = segment.acknowledged
@@ -163,11 +179,17 @@
             and now - self.sent_at >= MIN_RETRANSMISSION_TIMEOUT_S
         )
 
+    def note_retransmission(self) -> None:
+        """Record that the current request was sent more than once."""
+        self._retransmitted = True
+
     def record_request(self, segment: Segment, now: float) -> None:
         """Record the data of a new request, or more data of the current one."""
         self._request_end = segment.end
         self._request_waits = True
         if not self._busy:
+            self._request_start = segment.sequence
+            self._retransmitted = False
             self._acknowledged = segment.acknowledged
             self.sent_at = now
             self.occupy(self.tried[0])
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -10,7 +10,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -35,6 +35,8 @@
     upstream_record,
 )
 from egrethook.emulator.packets import Packet
+from egrethook.forwarding.data_path import build_data_path
+from egrethook.forwarding.features import Feature
 from egrethook.platform.packet_header import (
     ACK,
     FIN,
@@ -45,7 +47,6 @@
 )
 from egrethook.upstreams.flow_limit import AimdFlowLimit, FlowLimit
 from egrethook.upstreams.health import HealthObservation, PassiveHealth
-from egrethook.upstreams.selection import LeastFlowsSelector
 from egrethook.upstreams.upstream import Upstream
 
 TICK_INTERVAL_S = 0.01
@@ -116,6 +117,8 @@
         Whether balancers of one failure domain share their health observations.
     loss_share : float
         Share of the packets from callers that get lost.
+    features : collection of Feature
+        The optional parts of the balancers that are switched on.
 
     Attributes
     ----------
@@ -134,6 +137,7 @@
         new_limit: Callable[[], FlowLimit] = _default_limit,
         shares_health: bool = True,
         loss_share: float = 0.0,
+        features: Collection[Feature] = (),
     ) -> None:
         self.rng = random.Random(seed)
         self.caller_delay_s = caller_delay_s
@@ -141,6 +145,7 @@
         self._new_limit = new_limit
         self._shares_health = shares_health
         self._loss_share = loss_share
+        self._features = features
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
@@ -161,14 +166,15 @@
     def _new_vm(self, domain: str) -> SimulatedVm:
         view = ForwardingView(self.decoder, flow_life_s=60.0)
         limit = self._new_limit()
-        health = PassiveHealth(f"vm-{next(self._vm_numbers)}")
-        dispatcher = FlowDispatcher(
+        dispatcher, health, _ = build_data_path(
+            f"vm-{next(self._vm_numbers)}",
+            domain,
+            self._features,
             view,
             PacketHeader(),
             _SimulatedPacketPort(self, domain),
-            LeastFlowsSelector(domain, limit, NoColdLimit()),
             limit,
-            health,
+            NoColdLimit(),
         )
         dispatcher.view_is_fresh = True
         vm = SimulatedVm(domain, view, dispatcher, health)
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -20,13 +20,13 @@
 from egrethook.discovery.replica import Replica
 from egrethook.discovery.view import ForwardingView
 from egrethook.error_boundary import ErrorBoundary
+from egrethook.forwarding.data_path import build_data_path
 from egrethook.forwarding.settings import ForwarderSettings
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
 from egrethook.upstreams.flow_limit import AimdFlowLimit
-from egrethook.upstreams.health import HealthListener, HealthObservation, PassiveHealth
+from egrethook.upstreams.health import HealthListener, HealthObservation
 from egrethook.upstreams.reachability import HeardDomains, Reachability
-from egrethook.upstreams.selection import LeastFlowsSelector
 
 _LOG = PartLog("forwarder")
 
@@ -104,28 +104,26 @@
         self._replica = Replica(self._on_changes)
         self._is_cold_sender: Callable[[str], bool] = _deny_cold_upstreams
         self._flow_limit = AimdFlowLimit(settings.flow_limit)
-        self._health = PassiveHealth(settings.name)
-        selector = LeastFlowsSelector(
+        data_path = build_data_path(
+            settings.name,
             settings.failure_domain,
+            settings.enabled_features,
+            self._view,
+            codec,
+            SocketPacketSender(self._socket),
             self._flow_limit,
             FleetColdLimit(
                 self._cold_limits, lambda upstream: self._is_cold_sender(upstream.name)
             ),
         )
+        self._health = data_path.health
+        self._dispatcher = data_path.dispatcher
         self._heard_domains: Callable[[], HeardDomains] = HeardDomains
         self._reachability = Reachability(
             settings.failure_domain,
             self._health,
             lambda: self._heard_domains(),
         )
-        self._dispatcher = FlowDispatcher(
-            self._view,
-            codec,
-            SocketPacketSender(self._socket),
-            selector,
-            self._flow_limit,
-            self._health,
-        )
         self._packet_errors = ErrorBoundary(_LOG, "packet")
         self._due_work_errors = ErrorBoundary(_LOG, "due work")
         self._listener_errors = ErrorBoundary(_LOG, "change listener")
--- a/egrethook/forwarding/settings.py
+++ b/egrethook/forwarding/settings.py
@@ -11,6 +11,7 @@
 from egrethook.addresses import Address
 from egrethook.decoding import DECODING_ERRORS
 from egrethook.exceptions import SettingsError
+from egrethook.forwarding.features import Feature, features_for
 from egrethook.logs import PartLog
 
 
@@ -53,6 +54,17 @@
             ge=1,
         ),
     ] = 2
+    guarantees: Annotated[
+        list[str],
+        _described(
+            "guarantees that hold for this deployment; `health` switches on all "
+            "optional features, others have no effect"
+        ),
+    ] = []
+    features: Annotated[
+        list[Feature] | None,
+        _described("optional features that are on, in place of those by guarantee"),
+    ] = None
     leave_s: Annotated[
         float,
         _described("time to keep forwarding after a leave request, in seconds", ge=0),
@@ -75,6 +87,13 @@
         ):
             Address.parse_ipv4(text)
 
+    @property
+    def enabled_features(self) -> frozenset[Feature]:
+        """The optional features that are on."""
+        if self.features is not None:
+            return frozenset(self.features)
+        return features_for(self.guarantees)
+
     @property
     def seeds(self) -> list[Address]:
         """The addresses of `known_peers`."""
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import NamedTuple, Protocol
 
+from egrethook.discovery.records import Route
 from egrethook.upstreams.cold_limit import ColdAdmission
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.upstream import Upstream
@@ -31,28 +32,45 @@
 """Factor over the median service time above which an upstream is slow."""
 
 
+class Opening(NamedTuple):
+    """An opening that needs an upstream.
+
+    Parameters
+    ----------
+    route : Route
+        The route of the flow.
+    tried : collection of Upstream
+        Upstreams that got this opening already; they are excluded.
+    avoided : collection of Upstream
+        Upstreams that left an earlier opening of the caller unanswered.
+    on_time : bool
+        Whether the opening can still meet its latency objective.
+    now : float
+        The current time, in seconds.
+    """
+
+    route: Route
+    tried: Collection[Upstream]
+    avoided: Collection[Upstream]
+    on_time: bool
+    now: float
+
+
 class UpstreamSelector(Protocol):
     """Chooses an upstream among those that may take a new flow."""
 
     def choose(
-        self,
-        candidates: Sequence[Upstream],
-        tried: Collection[Upstream],
-        avoided: Collection[Upstream],
-        now: float,
-        on_time: bool,
+        self, candidates: Sequence[Upstream], opening: Opening
     ) -> Upstream | None:
-        """Return the best candidate with room, or None if none has room.
-
-        Parameters
-        ----------
-        tried : collection of Upstream
-            Upstreams that got this opening already; they are excluded.
-        avoided : collection of Upstream
-            Upstreams that left an earlier opening of the caller unanswered.
-        on_time : bool
-            Whether the opening can still meet its latency objective.
-        """
+        """Return the best candidate with room, or None if none has room."""
+        ...
+
+
+class CandidateFilter(Protocol):
+    """Leaves out upstreams for a while, beyond those that are ejected."""
+
+    def admits(self, upstream: Upstream, opening: Opening) -> bool:
+        """Return whether an upstream may get an opening."""
         ...
 
 
@@ -75,11 +93,18 @@
         Limits the busy flows of each upstream.
     cold_admission : ColdAdmission
         Limits the openings of cold upstreams.
+    filters : sequence of CandidateFilter
+        Leave out upstreams; ignored if they leave out all.
     """
 
     def __init__(
-        self, domain: str, limit: FlowLimit, cold_admission: ColdAdmission
+        self,
+        domain: str,
+        limit: FlowLimit,
+        cold_admission: ColdAdmission,
+        filters: Sequence[CandidateFilter] = (),
     ) -> None:
+        self._filters = filters
         self._cold_admission = cold_admission
         self._domain = domain
         self._limit = limit
@@ -87,20 +112,15 @@
         self._splits: dict[str, _DomainSplit] = {}
 
     def choose(
-        self,
-        candidates: Sequence[Upstream],
-        tried: Collection[Upstream],
-        avoided: Collection[Upstream],
-        now: float,
-        on_time: bool,
+        self, candidates: Sequence[Upstream], opening: Opening
     ) -> Upstream | None:
         """Return the best candidate with room, or None if none has room."""
         self._round += 1
-        chosen = self._best(self._sample(candidates), tried, avoided, now, on_time)
+        chosen = self._best(self._sample(candidates), opening)
         if chosen is None and len(candidates) > LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
-            chosen = self._best(candidates, tried, avoided, now, on_time)
+            chosen = self._best(candidates, opening)
         if chosen is not None:
-            self._cold_admission.note_sent(chosen, now)
+            self._cold_admission.note_sent(chosen, opening.now)
         return chosen
 
     def _sample(self, candidates: Sequence[Upstream]) -> Sequence[Upstream]:
@@ -131,17 +151,16 @@
         return known
 
     def _best(
-        self,
-        candidates: Iterable[Upstream],
-        tried: Collection[Upstream],
-        avoided: Collection[Upstream],
-        now: float,
-        on_time: bool,
+        self, candidates: Iterable[Upstream], opening: Opening
     ) -> Upstream | None:
+        tried, now, on_time = opening.tried, opening.now, opening.on_time
         usable = [candidate for candidate in candidates if candidate not in tried]
         not_ejected = [upstream for upstream in usable if not upstream.is_ejected(now)]
         # If all are ejected, ejection is ignored.
         pool = not_ejected or usable
+        for candidate_filter in self._filters:
+            admitted = [one for one in pool if candidate_filter.admits(one, opening)]
+            pool = admitted or pool
         if not tried and (unchecked := self._first_unchecked(not_ejected, now)):
             return unchecked
         available = [
@@ -154,7 +173,7 @@
             return None
         # Rotate the order so that candidates of equal cost take turns.
         start = self._round % len(available)
-        cost = self._cost(pool, [*tried, *avoided])
+        cost = self._cost(pool, [*tried, *opening.avoided])
         return min(available[start:] + available[:start], key=cost)
 
     def _first_unchecked(
--- a/egrethook/wire/gossip/ttypes.py
+++ b/egrethook/wire/gossip/ttypes.py
@@ -507,21 +507,331 @@
         return not (self == other)
 
 
+class OutlierReport(object):
+    """
+    Attributes:
+     - token
+     - is_outlier
+
+    """
+
+
+    def __init__(self, token=None, is_outlier=None,):
+        self.token = token
+        self.is_outlier = is_outlier
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_outlier = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OutlierReport')
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 1)
+            oprot.writeI64(self.token)
+            oprot.writeFieldEnd()
+        if self.is_outlier is not None:
+            oprot.writeFieldBegin('is_outlier', TType.BOOL, 2)
+            oprot.writeBool(self.is_outlier)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SpeedEstimate(object):
+    """
+    Attributes:
+     - token
+     - time_permille
+     - weight_permille
+
+    """
+
+
+    def __init__(self, token=None, time_permille=None, weight_permille=None,):
+        self.token = token
+        self.time_permille = time_permille
+        self.weight_permille = weight_permille
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.time_permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.weight_permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SpeedEstimate')
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 1)
+            oprot.writeI64(self.token)
+            oprot.writeFieldEnd()
+        if self.time_permille is not None:
+            oprot.writeFieldBegin('time_permille', TType.I32, 2)
+            oprot.writeI32(self.time_permille)
+            oprot.writeFieldEnd()
+        if self.weight_permille is not None:
+            oprot.writeFieldBegin('weight_permille', TType.I32, 3)
+            oprot.writeI32(self.weight_permille)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SpeedReport(object):
+    """
+    Attributes:
+     - estimates
+     - asks
+
+    """
+
+
+    def __init__(self, estimates=None, asks=None,):
+        self.estimates = estimates
+        self.asks = asks
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.estimates = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = SpeedEstimate()
+                        _elem19.read(iprot)
+                        self.estimates.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.asks = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SpeedReport')
+        if self.estimates is not None:
+            oprot.writeFieldBegin('estimates', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.estimates))
+            for iter20 in self.estimates:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.asks is not None:
+            oprot.writeFieldBegin('asks', TType.BOOL, 2)
+            oprot.writeBool(self.asks)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReachReport(object):
+    """
+    Attributes:
+     - sender
+     - reaches_upstreams
+     - age_ms
+
+    """
+
+
+    def __init__(self, sender=None, reaches_upstreams=None, age_ms=None,):
+        self.sender = sender
+        self.reaches_upstreams = reaches_upstreams
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = MemberInfo()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.reaches_upstreams = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReachReport')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        if self.reaches_upstreams is not None:
+            oprot.writeFieldBegin('reaches_upstreams', TType.BOOL, 2)
+            oprot.writeBool(self.reaches_upstreams)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class GossipMessage(object):
     """
     Attributes:
      - digest
      - delta
      - report
+     - outlier
+     - speeds
+     - reach
      - packed
 
     """
 
 
-    def __init__(self, digest=None, delta=None, report=None, packed=None,):
+    def __init__(self, digest=None, delta=None, report=None, outlier=None, speeds=None, reach=None, packed=None,):
         self.digest = digest
         self.delta = delta
         self.report = report
+        self.outlier = outlier
+        self.speeds = speeds
+        self.reach = reach
         self.packed = packed
 
     def read(self, iprot):
@@ -551,6 +861,24 @@
                     self.report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.outlier = OutlierReport()
+                    self.outlier.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.speeds = SpeedReport()
+                    self.speeds.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.reach = ReachReport()
+                    self.reach.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
                     self.packed = iprot.readBinary()
@@ -582,6 +910,18 @@
             oprot.writeFieldBegin('packed', TType.STRING, 4)
             oprot.writeBinary(self.packed)
             oprot.writeFieldEnd()
+        if self.outlier is not None:
+            oprot.writeFieldBegin('outlier', TType.STRUCT, 5)
+            self.outlier.write(oprot)
+            oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.STRUCT, 6)
+            self.speeds.write(oprot)
+            oprot.writeFieldEnd()
+        if self.reach is not None:
+            oprot.writeFieldBegin('reach', TType.STRUCT, 7)
+            self.reach.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -640,6 +980,32 @@
     (2, TType.BOOL, 'answers', None, None, ),  # 2
     (3, TType.I32, 'silent_ms', None, None, ),  # 3
 )
+all_structs.append(OutlierReport)
+OutlierReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'token', None, None, ),  # 1
+    (2, TType.BOOL, 'is_outlier', None, None, ),  # 2
+)
+all_structs.append(SpeedEstimate)
+SpeedEstimate.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'token', None, None, ),  # 1
+    (2, TType.I32, 'time_permille', None, None, ),  # 2
+    (3, TType.I32, 'weight_permille', None, None, ),  # 3
+)
+all_structs.append(SpeedReport)
+SpeedReport.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'estimates', (TType.STRUCT, [SpeedEstimate, None], False), None, ),  # 1
+    (2, TType.BOOL, 'asks', None, None, ),  # 2
+)
+all_structs.append(ReachReport)
+ReachReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [MemberInfo, None], None, ),  # 1
+    (2, TType.BOOL, 'reaches_upstreams', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(GossipMessage)
 GossipMessage.thrift_spec = (
     None,  # 0
@@ -647,6 +1013,9 @@
     (2, TType.STRUCT, 'delta', [Delta, None], None, ),  # 2
     (3, TType.STRUCT, 'report', [UpstreamReport, None], None, ),  # 3
     (4, TType.STRING, 'packed', 'BINARY', None, ),  # 4
+    (5, TType.STRUCT, 'outlier', [OutlierReport, None], None, ),  # 5
+    (6, TType.STRUCT, 'speeds', [SpeedReport, None], None, ),  # 6
+    (7, TType.STRUCT, 'reach', [ReachReport, None], None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -39,10 +39,35 @@
   3: i32 silent_ms,
 }
 
+struct OutlierReport {
+  1: i64 token,
+  2: bool is_outlier,
+}
+
+struct SpeedEstimate {
+  1: i64 token,
+  2: i32 time_permille,
+  3: i32 weight_permille,
+}
+
+struct SpeedReport {
+  1: list<SpeedEstimate> estimates,
+  2: bool asks,
+}
+
+struct ReachReport {
+  1: MemberInfo sender,
+  2: bool reaches_upstreams,
+  3: i32 age_ms,
+}
+
 union GossipMessage {
   1: Digest digest,
   2: Delta delta,
   3: UpstreamReport report,
+  5: OutlierReport outlier,
+  6: SpeedReport speeds,
+  7: ReachReport reach,
   // A compressed GossipMessage.
   4: binary packed,
 }
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -14,12 +14,18 @@
 from egrethook.balancers.gossip_codec import MemberInfo
 from egrethook.balancers.gossip_members import GossipMembers
 from egrethook.discovery.records import ColdLimit
-from egrethook.emulator.flow_records import SERVICE, FixedFlowLimit, upstream_record
+from egrethook.emulator.flow_records import (
+    SERVICE,
+    FixedFlowLimit,
+    route_table,
+    upstream_record,
+)
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM, FleetColdLimit
-from egrethook.upstreams.selection import LeastFlowsSelector
+from egrethook.upstreams.selection import LeastFlowsSelector, Opening
 from egrethook.upstreams.upstream import Upstream
 
 RATE_PER_S = 20.0
+OPENING = Opening(route_table().routes[0], (), (), on_time=True, now=1.0)
 MAX_OVERSHOOT_FACTOR, SLACK_OPENINGS = 1.5, 5.0
 
 
@@ -88,5 +94,5 @@
     strict = FleetColdLimit(lambda: {SERVICE: ColdLimit(2.0, 5.0)}, lambda one: False)
     selector = LeastFlowsSelector("zone", FixedFlowLimit(3), strict)
     warm = Upstream(upstream_record("up-2", "elsewhere"), 0.0)
-    assert selector.choose([cold_upstream(), warm], (), (), 1.0, on_time=True) is warm
-    assert selector.choose([cold_upstream()], (), (), 1.0, on_time=True) is None
+    assert selector.choose([cold_upstream(), warm], OPENING) is warm
+    assert selector.choose([cold_upstream()], OPENING) is None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,6 +26,7 @@
     SettingsError,
     SourceUnavailableError,
 )
+from egrethook.forwarding.features import Feature
 from egrethook.forwarding.settings import SettingsFile, load_forwarder_settings
 from egrethook.operators.checks import check_file
 from egrethook.platform.packet_header import HEADER, PacketHeader
@@ -317,13 +318,31 @@
         "platform.address": "10.200.1.7:8169",
         "seeds": ["10.1.0.10:8166"],
         "bounds.maxFlowS": 60,
+        "contracts": ["base", "health"],
     }
     for name, filled in values.items():
         text = text.replace("{{" + name + "|json}}", json.dumps(filled))
     assert "{{" not in text
     path = tmp_path / "node"
     path.write_text(text)
-    assert load_forwarder_settings(str(path)).registry == "10.200.1.7:8169"
+    settings = load_forwarder_settings(str(path))
+    assert settings.registry == "10.200.1.7:8169"
+    assert settings.enabled_features == frozenset(Feature)
+
+
+def test_features_follow_the_guarantees_unless_they_are_listed(tmp_path):
+    path = tmp_path / "node"
+
+    def enabled(**changes):
+        path.write_text(json.dumps({**json.loads(SETTINGS), **changes}))
+        return load_forwarder_settings(str(path)).enabled_features
+
+    assert enabled() == enabled(guarantees=["drain", "unknown"]) == frozenset()
+    assert enabled(guarantees=["health"]) == frozenset(Feature)
+    assert enabled(guarantees=["health"], features=[]) == frozenset()
+    assert enabled(features=["shared-speeds"]) == {Feature.SHARED_SPEEDS}
+    with pytest.raises(SettingsError, match="features"):
+        enabled(features=["nonsense"])
 
 
 def test_changed_settings_file_is_reloaded_and_an_invalid_one_ignored(tmp_path):
