--- a/egrethook/upstreams/executor.py
+++ b/egrethook/upstreams/executor.py
@@ -4,7 +4,6 @@
 
 import itertools
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from egrethook.addresses import Address
 from egrethook.callers.packets import Cancel, Done, Fetch, Run
@@ -14,6 +13,7 @@
 from egrethook.retries import RetryBudget
 from egrethook.types import ExecutorId
 from egrethook.upstreams.admission import Report, ShedReason
+from egrethook.upstreams.executor_counts import ExecutorCounts
 from egrethook.upstreams.interfaces import (
     ConfigurationSource,
     PacketSender,
@@ -44,31 +44,6 @@
 """Refusal codes for duplicates without a record; their verdict is `MAY_HAVE_RUN`."""
 
 
-@dataclass
-class ExecutorCounts:
-    """Counters of an executor, exported as metrics.
-
-    Parameters
-    ----------
-    started : int
-        Requests sent to an upstream, retries included.
-    refused, unknown : int
-        Refusals with the verdict `NOT_RUN` and with `MAY_HAVE_RUN`.
-    shed : int
-        Requests that an upstream refused to run.
-    turned_cold : int
-        How often slow answers reset an upstream to cold.
-    """
-
-    started: int = 0
-    answered: int = 0
-    refused: int = 0
-    unknown: int = 0
-    retried: int = 0
-    shed: int = 0
-    turned_cold: int = 0
-
-
 class Executor:
     """Runs requests on owned upstreams; non-idempotent ones at most once.
 
