Leave out upstreams whose answers differ from their peers'

Cause: an upstream that says it is healthy but fails every request within 2 ms looks fast and idle, so that the choice of the least busy sends it more than its share. Only the callers' acknowledgements show it: answers that come sooner than requests of the route cost anywhere, and are far shorter.

Change: each request adds a log likelihood ratio to the score of its upstream, weighed by how usual such answers are at the other upstreams of the route. From a score of 7 an upstream gets trials only, first of idempotent requests; two plausible answers end that. Balancers of a failure domain share suspicious answers, and plausible ones of suspected upstreams; one balancer alone decides nothing at others. At most half of a service is left out. Requests that hang far longer than the route's times count the same way. Switched on by Feature.OUTLIER_EJECTION.

--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -403,7 +403,7 @@
         self._send_to_vm(call, packet)
 
     def _send_request(self, call: Call) -> None:
-        """Send a request; callers that keep flows open, or are told to, retransmit it."""
+        """Send a request; callers with open flows, or told to, retransmit it."""
         call.reached_upstream = False
         self._send(call, ACK, bytes(REQUEST_BYTES))
         if call.think_time_s is None and not call.retransmits:
@@ -484,7 +484,7 @@
     def _fail_request(
         self, upstream: SimulatedUpstream, fault: AnswerFault, request: UpstreamRequest
     ) -> None:
-        """Answer a request with a short error that its caller retries, or not at all."""
+        """Answer a request with a short error, or not at all."""
         call = request.call
         call.faults.append(upstream.record.name)
 
--- a/egrethook/upstreams/ejections.py
+++ b/egrethook/upstreams/ejections.py
@@ -12,10 +12,10 @@
 OWN_SOURCE = ""
 """The source of what this balancer has observed itself."""
 
-EJECTION_SCORE = 7.5
+EJECTION_SCORE = 7.0
 """Score from which an upstream is left out: two or three suspicious answers."""
 
-PEER_SCORE_MAX = 5.0
+PEER_SCORE_MAX = 4.5
 """Maximum that the reports of one other balancer add to a score.
 
 Less than `EJECTION_SCORE`: a single balancer with a faulty view leaves out no upstream
@@ -46,6 +46,12 @@
 EJECTION_LAPSE_S = 10.0
 """Time without a suspicious answer after which an ejection lapses, in seconds."""
 
+NEWS_INTERVAL_S = 0.3
+"""Time in which further reports of one suspicious answer may arrive, in seconds."""
+
+CONFIRMING_SHARE = 0.15
+"""Share of the balancers of a domain that confirm what another one reports."""
+
 MIN_SCORE = 0.05
 """Score below which evidence is dropped."""
 
@@ -69,12 +75,13 @@
         self.score *= _decay(now - self.updated_at)
         self.updated_at = now
 
-    def add(self, weight: float, source: str, now: float) -> None:
-        """Add the weight of one request, as far as its source may still add any."""
+    def add(self, weight: float, source: str, now: float) -> float:
+        """Add the weight of one request, and return what its source could still add."""
         self.age(now)
         if weight > 0.0 and source != OWN_SOURCE:
             weight = self._limited(weight, source, now)
         self.score = max(0.0, self.score + weight)
+        return weight
 
     def _limited(self, weight: float, source: str, now: float) -> float:
         """Return the part of a weight that another balancer's report may add."""
@@ -108,7 +115,7 @@
 
     upstream: Upstream
     trials_to_return: int
-    last_suspicious_at: float
+    last_suspicious_at: float = float("-inf")
     trial_due_at: float = 0.0
     failed_trials: int = 0
     plausible: int = 0
@@ -132,13 +139,23 @@
         """Record that an opening was sent as a trial."""
         self._schedule(self._interval_s, balancer, now)
 
-    def note_suspicious(self, balancer: str, now: float) -> None:
-        """Record a suspicious answer: the next trial comes later."""
+    def note_suspicious(self, balancer: str, now: float) -> bool:
+        """Record a suspicious answer, and return whether it is news.
+
+        The next trial then comes later.
+        """
+        is_news = now - self.last_suspicious_at > NEWS_INTERVAL_S
         self.last_suspicious_at = now
         self.plausible = 0
         self.sources.clear()
         self._schedule(self._interval_s, balancer, now)
-        self.failed_trials += 1
+        if is_news:
+            self.failed_trials += 1
+        return is_news
+
+    def is_confirmed_by(self, balancer: str) -> bool:
+        """Return whether this balancer is one of the few that confirm it next."""
+        return self._hash(balancer) < CONFIRMING_SHARE
 
     def note_plausible(self, source: str, balancer: str, now: float) -> None:
         """Record a plausible answer; each other balancer counts once."""
@@ -159,8 +176,12 @@
 
         The first of them to try tells the others, whose trials then come later.
         """
+        self.trial_due_at = now + interval_s * (1.0 + self._hash(balancer))
+
+    def _hash(self, balancer: str) -> float:
+        """Return a number from 0 to 1 that differs between balancers and trials."""
         text = f"{balancer}/{self.upstream.name}/{self.failed_trials}/{self.plausible}"
-        self.trial_due_at = now + interval_s * (1.0 + crc32(text.encode()) / 2**32)
+        return crc32(text.encode()) / 2**32
 
 
 def _decay(elapsed_s: float) -> float:
--- a/egrethook/upstreams/outliers.py
+++ b/egrethook/upstreams/outliers.py
@@ -40,14 +40,19 @@
 If more answer alike, it is the way of the service.
 """
 
-PAUSE_S = 0.3
+PAUSE_S = 0.15
 """Time without openings after a suspicious answer, in seconds.
 
-The caller's retry goes to another upstream, and reports of others may arrive.
+The caller's retry goes to another upstream, through whichever balancer of the domain,
+and reports of others may arrive.
 """
 
-PAUSE_WEIGHT = 2.0
-"""Least weight of an answer that makes its upstream pause, and is reported."""
+TELLING_WEIGHT = 2.0
+"""Least weight of an answer that makes its upstream pause, and is reported.
+
+Where short answers that come soon are usual, one tells little. Balancers would report
+more of them than they may, and hold back what speaks for the upstream.
+"""
 
 REPORTS_PER_S = 4.0
 """Rate limit of the reports sent, per second."""
@@ -216,9 +221,7 @@
         sample: RequestSample,
         now: float,
     ) -> None:
-        if weights.suspicious >= PAUSE_WEIGHT:
-            self._paused_until[upstream.token] = now + PAUSE_S
-            self._version += 1
+        if weights.suspicious >= TELLING_WEIGHT:
             self._report(upstream, True, now)
         self._add_suspicion(upstream, weights.suspicious, OWN_SOURCE, now, sample)
 
@@ -276,16 +279,26 @@
     ) -> None:
         ejection = self._ejections.get(upstream.token)
         if ejection is not None:
-            ejection.note_suspicious(self._name, now)
+            is_news = ejection.note_suspicious(self._name, now)
+            # A balancer that has just started may know of no suspicious answer.
+            if is_news and source and ejection.is_confirmed_by(self._name):
+                self._report(upstream, True, now)
             return
         evidence = self._evidence.get(upstream.token)
         if evidence is None:
             if len(self._evidence) >= MAX_TRACKED:
                 return
             evidence = self._evidence[upstream.token] = Evidence(updated_at=now)
-        evidence.add(weight, source, now)
-        if evidence.score >= EJECTION_SCORE and self._may_leave_out(upstream.service):
+        if evidence.add(weight, source, now) >= TELLING_WEIGHT:
+            self._paused_until[upstream.token] = now + PAUSE_S
+            self._version += 1
+        if evidence.score < EJECTION_SCORE:
+            return
+        del self._evidence[upstream.token]
+        if self._may_leave_out(upstream.service):
             self._eject(upstream, evidence, sample, now)
+        else:
+            self._relearn(upstream.service)
 
     def _remove_suspicion(
         self, upstream: Upstream, weight: float, source: str, now: float
@@ -307,6 +320,19 @@
         )
         return left_out + 1 <= MAX_LEFT_OUT_SHARE * self._count_upstreams(service)
 
+    def _relearn(self, service: str) -> None:
+        """Learn anew what answers of a service look like; they may have changed.
+
+        Upstreams that are left out return as soon as their trials look like the rest.
+        """
+        for key in [key for key in self._answers if key[1] == service]:
+            del self._answers[key]
+        _LOG.info(
+            "most upstreams of a service answer alike; no more of them are left out.",
+            service=service,
+            left_out=len(self._ejections),
+        )
+
     def _eject(
         self,
         upstream: Upstream,
@@ -319,11 +345,10 @@
         trials = TRIALS_TO_RETURN
         if now - returned_at <= RELAPSE_S:
             trials = min(MAX_TRIALS_TO_RETURN, 2 * earlier_trials)
-        ejection = Ejection(upstream, trials, now)
+        ejection = Ejection(upstream, trials)
         ejection.note_suspicious(self._name, now)
         self._ejections[token] = ejection
         self._version += 1
-        del self._evidence[token]
         for answers in self._answers.values():
             answers.forget(token)
         self._counts.ejections += 1
--- a/egrethook/upstreams/route_answers.py
+++ b/egrethook/upstreams/route_answers.py
@@ -48,7 +48,7 @@
 MIN_NORMAL_RATE = 0.005
 """Lower bound of the share of suspicious requests at other upstreams."""
 
-PRIOR_REQUESTS = 40.0
+PRIOR_REQUESTS = 20.0
 """Requests that the first estimate of that share counts for."""
 
 PRIOR_SUSPICIOUS = 0.5
@@ -183,15 +183,15 @@
         self._norm = norm._replace(weights=evidence_weights(self._normal_rate(norm)))
 
     def _normal_rate(self, norm: AnswerNorm) -> float:
-        """Return the share of suspicious requests at upstreams that also work.
+        """Return the share of suspicious requests at normal upstreams.
 
-        Those with fewer than two samples, or with suspicious ones only, are left out.
+        Those with several samples, all of them suspicious, are left out.
         """
         suspicious = PRIOR_SUSPICIOUS
         total = PRIOR_REQUESTS
         for samples in self._samples.values():
             count = sum(map(norm.is_suspicious, samples))
-            if len(samples) > max(1, count):
+            if count < max(2, len(samples)):
                 suspicious += count
                 total += len(samples)
         return suspicious / total
