Let the balancers of a domain that reaches no upstream leave together

Cause: while a failure domain is cut off and its own upstreams are out of service, each of its balancers decided for itself, once heartbeats of the other domains had been silent for 2.5 s. Heartbeats passed on inside the domain prolong that by seconds, and routers keep all callers there while one balancer is ready.

Change: ReachEvidence collects what openings show, DomainAgreement counts the reports of the domain's balancers, DomainDeparture sends them and notices the end of a cut by gossip from the other side. Readiness follows where there are other balancers to agree with; alone, a balancer decides as before. Behind Feature.DOMAIN_DEPARTURE. ReachReport.age_s is the age of the newest evidence.

Gossip never crossed again after a cut of some seconds in fleets with two live members on each side: each side took the other for dead and sent nothing. Each round now also goes to one member of a domain that is lost.

FlowWorld asks whether a packet passes; tests/departure_world.py adds gossip, cuts and the router. The soak ends with a domain that is evacuated and loses the way to the others' upstreams, after the recovery that it checked before.

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -232,6 +232,7 @@
     def _on_digest(self, digest: Digest, source: Address) -> None:
         now = self._clock.now()
         target = digest.sender.address
+        self._members.note_contact(digest.sender.failure_domain, now)
         is_new = not self._members.knows(digest.sender)
         self._members.merge((digest.sender, *digest.members), now)
         own_revision = self._replica.revision
--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -161,7 +161,7 @@
     Parameters
     ----------
     age_s : float
-        Time for which this has been so, in seconds.
+        Age of the newest evidence for it, in seconds.
     """
 
     sender: MemberInfo
--- a/egrethook/balancers/gossip_members.py
+++ b/egrethook/balancers/gossip_members.py
@@ -35,6 +35,13 @@
 """Number of members that read the registry in each failure domain."""
 
 
+LOST_DOMAIN_EXPIRY_S = 600.0
+"""Time for which members of a failure domain that is lost are remembered, in seconds.
+
+A domain is lost while none of its members is live.
+"""
+
+
 @dataclass(slots=True)
 class _MemberEntry:
     info: MemberInfo
@@ -62,6 +69,8 @@
         self.set_seeds(seeds)
         self._rng = rng
         self._entries: dict[Address, _MemberEntry] = {}
+        # Times of the last two datagrams from each failure domain.
+        self._contacts: dict[str, tuple[float, float]] = {}
 
     @property
     def own(self) -> MemberInfo:
@@ -124,15 +133,47 @@
         """Return the failure domains of all known members, dead ones included."""
         return frozenset(entry.info.failure_domain for entry in self._entries.values())
 
+    def live_in_own_domain(self, now: float) -> list[Address]:
+        """Return the live members of the local failure domain that are not leaving."""
+        domain = self._own.failure_domain
+        return [
+            member.address
+            for member in self.live(now)
+            if member.failure_domain == domain and not member.leaving
+        ]
+
+    def note_contact(self, domain: str, now: float) -> None:
+        """Record that a datagram came directly from a failure domain."""
+        last_at, _ = self._contacts.get(domain, (float("-inf"), 0.0))
+        self._contacts[domain] = now, last_at
+
+    def contact_age(self, domain: str, now: float) -> float | None:
+        """Return the time since a datagram came from a failure domain, in seconds.
+
+        It is None if no member of the domain is known.
+        """
+        if domain not in self.known_domains():
+            return None
+        return now - self._contacts.get(domain, (float("-inf"), 0.0))[0]
+
+    def confirmed_contact_at(self, domain: str) -> float:
+        """Return when the last datagram but one came from a domain, in seconds."""
+        return self._contacts.get(domain, (0.0, float("-inf")))[1]
+
     def knows(self, info: MemberInfo) -> bool:
         """Return whether this incarnation of a member is known."""
         entry = self._entries.get(info.address)
         return entry is not None and entry.info.incarnation == info.incarnation
 
     def remove_expired(self, now: float) -> None:
-        """Drop members that have been silent for 20 member timeouts."""
-        limit_s = 20 * MEMBER_TIMEOUT_S
+        """Drop members that have been silent for 20 member timeouts.
+
+        Those of a lost failure domain are kept for longer: it may have been cut off.
+        """
+        live_domains = self.live_domains(now)
         for address, entry in list(self._entries.items()):
+            is_lost = entry.info.failure_domain not in live_domains
+            limit_s = LOST_DOMAIN_EXPIRY_S if is_lost else 20 * MEMBER_TIMEOUT_S
             if now - entry.last_heard_at > limit_s:
                 del self._entries[address]
 
@@ -140,7 +181,9 @@
         """Return the targets of the next digest.
 
         With fewer than two live members, seeds and members that have timed out are
-        included, so that the balancer can join or rejoin the fleet.
+        included, so that the balancer can join or rejoin the fleet. Otherwise a member
+        of a failure domain that is lost is: after a cut of the network, nobody else
+        would send across it.
         """
         live = self.live(now)
         if len(live) < 2:
@@ -149,8 +192,20 @@
                 :FULL_MESH_MAX_MEMBERS
             ]
         if len(live) <= FULL_MESH_MAX_MEMBERS:
-            return [member.address for member in live]
-        return self._choose_random(live, LOCAL_FANOUT, REMOTE_FANOUT)
+            return [*(member.address for member in live), *self._lost_target(live)]
+        targets = self._choose_random(live, LOCAL_FANOUT, REMOTE_FANOUT)
+        return targets + self._lost_target(live)
+
+    def _lost_target(self, live: list[MemberInfo]) -> list[Address]:
+        """Return a random member of the failure domains that are lost, if any."""
+        live_domains = {member.failure_domain for member in live}
+        live_domains.add(self._own.failure_domain)
+        lost = [
+            address
+            for address, entry in self._entries.items()
+            if entry.info.failure_domain not in live_domains
+        ]
+        return [self._rng.choice(lost)] if lost else []
 
     def push_targets(self, now: float) -> list[Address]:
         """Return the targets to which a change is pushed immediately."""
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -63,13 +63,15 @@
 class _SimulatedPacketPort:
     """Passes the packets of a dispatcher to the simulation."""
 
-    def __init__(self, world: FlowWorld, domain: str) -> None:
+    def __init__(self, world: FlowWorld, domain: str, vm: int) -> None:
         self._world = world
         self._domain = domain
+        self._vm = vm
 
     def to_upstream(self, address: tuple[str, int], packet: bytes) -> None:
         """Send a packet to an upstream."""
-        self._world.packet_to_upstream(self._domain, address[0], packet)
+        if self._world.passes(self._vm, address[0]):
+            self._world.packet_to_upstream(self._domain, address[0], packet)
 
     def to_caller(self, caller: IPv4Endpoint, packet: bytes) -> None:
         """Reset the caller; the only packets sent to callers are resets."""
@@ -166,13 +168,14 @@
     def _new_vm(self, domain: str) -> SimulatedVm:
         view = ForwardingView(self.decoder, flow_life_s=60.0)
         limit = self._new_limit()
+        number = next(self._vm_numbers)
         dispatcher, health, _ = build_data_path(
-            f"vm-{next(self._vm_numbers)}",
+            f"vm-{number}",
             domain,
             self._features,
             view,
             PacketHeader(),
-            _SimulatedPacketPort(self, domain),
+            _SimulatedPacketPort(self, domain, number),
             limit,
             NoColdLimit(),
         )
@@ -399,6 +402,10 @@
 
     # Upstreams -------------------------------------------------------------------
 
+    def passes(self, vm: int, upstream: str) -> bool:
+        """Return whether packets of a balancer reach an upstream; see subclasses."""
+        return True
+
     def packet_to_upstream(self, domain: str, name: str, packet: bytes) -> None:
         """Deliver a packet from a balancer to an upstream after the link delay."""
         upstream = self.upstreams[name]
--- a/egrethook/emulator/soak/fleet.py
+++ b/egrethook/emulator/soak/fleet.py
@@ -83,6 +83,11 @@
         """The address to which the router sends packets."""
         return Address(self.host, self.port)
 
+    @property
+    def in_rotation(self) -> bool:
+        """Whether the router may send new flows to it."""
+        return self.failed_probes < PROBE_FAILURE_THRESHOLD
+
     def mark_disturbed(self) -> None:
         """Record a disturbance; see `DISTURBANCE_GRACE_S`."""
         self.disturbed_at = time.monotonic()
@@ -152,6 +157,7 @@
             "registry": f"{vm.host}:{vm.port + PROXY_OFFSET}",
             "metrics_port": vm.port + METRICS_OFFSET,
             "known_peers": seeds,
+            "guarantees": ["health"],
             **changes,
         }
         path = self._folder / f"{vm.name}.yaml"
@@ -254,13 +260,13 @@
         """Return the address of the VM to which the router sends a flow.
 
         Only VMs in the caller's failure domain get it. If fewer than half of them
-        are in rotation, all of them are used.
+        are in rotation, all of them are used; if none is, those of other domains.
         """
         domain_vms = [vm for vm in self._vms if vm.domain == domain]
-        in_rotation = [
-            vm for vm in domain_vms if vm.failed_probes < PROBE_FAILURE_THRESHOLD
-        ]
-        if len(in_rotation) * 2 < len(domain_vms):
+        in_rotation = [vm for vm in domain_vms if vm.in_rotation]
+        if not in_rotation:
+            in_rotation = [vm for vm in self._vms if vm.in_rotation]
+        elif len(in_rotation) * 2 < len(domain_vms):
             in_rotation = domain_vms
         return rendezvous(flow, [vm.packet_address for vm in in_rotation])
 
--- a/egrethook/emulator/soak/peers.py
+++ b/egrethook/emulator/soak/peers.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from zlib import crc32
 
@@ -107,6 +107,7 @@
         self.started_ms = int(time.time() * 1000)
         self._unresponsive = False
         self._responsive_since = float("-inf")
+        self._dropped_hosts: frozenset[str] = frozenset()
         self.openings: list[tuple[float, str]] = []
         self._caller_port = caller_port
         self._violations = violations
@@ -124,6 +125,17 @@
             self._responsive_since = time.monotonic()
         self._unresponsive = unresponsive
 
+    @property
+    def drops_packets(self) -> bool:
+        """Whether the packets of some VMs are dropped."""
+        return bool(self._dropped_hosts)
+
+    def drop_packets_of(self, hosts: Iterable[str]) -> None:
+        """Drop the packets that come from some VMs, and from no others."""
+        if self.drops_packets:
+            self._responsive_since = time.monotonic()
+        self._dropped_hosts = frozenset(hosts)
+
     @property
     def token(self) -> int:
         """The token of its flows."""
@@ -132,16 +144,17 @@
 
     @property
     def is_calm(self) -> bool:
-        """Whether it answers, and has answered for `CALM_TIME_S`."""
+        """Whether it answers all VMs, and has done so for `CALM_TIME_S`."""
         answered_s = time.monotonic() - self._responsive_since
-        return not self._unresponsive and answered_s >= CALM_TIME_S
+        is_silent = self._unresponsive or self.drops_packets
+        return not is_silent and answered_s >= CALM_TIME_S
 
     async def run(self) -> None:
         """Answer packets until cancelled."""
         with DatagramSocket(self.address) as socket:
             while True:
                 for datagram, source in await socket.receive():
-                    if not self.unresponsive:
+                    if not self.unresponsive and source[0] not in self._dropped_hosts:
                         self._handle(socket, datagram, source[0])
 
     def _handle(self, socket: DatagramSocket, datagram: bytes, vm_host: str) -> None:
--- a/egrethook/emulator/soak/run.py
+++ b/egrethook/emulator/soak/run.py
@@ -16,6 +16,7 @@
 
 from egrethook.addresses import Address
 from egrethook.callers.segments import IPv4Endpoint
+from egrethook.emulator.soak.domain_cut import DomainCut
 from egrethook.emulator.soak.faults import DOMAINS, SoakFaults, register_upstream
 from egrethook.emulator.soak.fleet import PROXY_OFFSET, SoakFleet, SoakVm
 from egrethook.emulator.soak.peers import (
@@ -273,9 +274,19 @@
         while time.monotonic() < faults_ended_at + RECOVERY_TIMEOUT_S + 5.0:
             await anyio.sleep(0.5)
             self._fleet.check_processes()
+        recovered_until = time.monotonic()
+        await anyio.sleep(FINAL_REQUESTS_WAIT_S)
+        await self._cut_domain_off()
         self._generating_load = False
         await anyio.sleep(FINAL_REQUESTS_WAIT_S)
-        self._check_recovery(faults_ended_at)
+        self._check_recovery(faults_ended_at, recovered_until)
+
+    async def _cut_domain_off(self) -> None:
+        domain = DOMAINS[self._options.seed % len(DOMAINS)]
+        self._print_line(f"{domain} is evacuated and cut off")
+        upstreams = self._upstreams.values()
+        cut = DomainCut(domain, self._fleet, self._store, upstreams, self._violations)
+        await cut.run()
 
     async def _generate_load(self, tasks: TaskGroup) -> None:
         while self._generating_load:
@@ -285,10 +296,12 @@
             exchanges = 6 if self._rng.random() < 0.1 else 1
             tasks.start_soon(caller.request, service, exchanges)
 
-    def _check_recovery(self, faults_ended_at: float) -> None:
+    def _check_recovery(self, faults_ended_at: float, until: float) -> None:
         results = [result for _, caller in self._callers for result in caller.results]
         after = [
-            ok for began, ok in results if began > faults_ended_at + RECOVERY_TIMEOUT_S
+            ok
+            for began, ok in results
+            if faults_ended_at + RECOVERY_TIMEOUT_S < began < until
         ]
         self._report.requests = len(results)
         self._report.answered = sum(ok for _, ok in results)
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -26,6 +26,7 @@
 from egrethook.upstreams.cold_limit import FleetColdLimit
 from egrethook.upstreams.flow_limit import AimdFlowLimit
 from egrethook.upstreams.health import HealthListener, HealthObservation
+from egrethook.upstreams.reach_evidence import ReachEvidence
 from egrethook.upstreams.reachability import HeardDomains, Reachability
 
 _LOG = PartLog("forwarder")
@@ -51,6 +52,24 @@
         ...
 
 
+class DepartureDecision(Protocol):
+    """Whether the balancers of the failure domain have left the rotation together."""
+
+    @property
+    def departed(self) -> bool:
+        """Whether they have."""
+        ...
+
+    @property
+    def departures(self) -> int:
+        """How often they have."""
+        ...
+
+    def decides(self, now: float) -> bool:
+        """Return whether this holds; otherwise each balancer decides for itself."""
+        ...
+
+
 class SocketPacketSender:
     """Sends packets from the socket that receives callers' packets."""
 
@@ -124,6 +143,7 @@
             self._health,
             lambda: self._heard_domains(),
         )
+        self._departure: DepartureDecision | None = None
         self._packet_errors = ErrorBoundary(_LOG, "packet")
         self._due_work_errors = ErrorBoundary(_LOG, "due work")
         self._listener_errors = ErrorBoundary(_LOG, "change listener")
@@ -184,11 +204,24 @@
         return (
             self.has_view
             and not self._leave_requested
-            and self._reachability.reaches_any(
-                self._view.domains_with_upstreams(), self._clock.now()
-            )
+            and self._reaches_upstreams(self._clock.now())
         )
 
+    def _reaches_upstreams(self, now: float) -> bool:
+        if self._departure is not None and self._departure.decides(now):
+            return not self._departure.departed
+        return self._reachability.reaches_any(self._view.domains_with_upstreams(), now)
+
+    @property
+    def reach_evidence(self) -> ReachEvidence:
+        """What the openings show about the failure domains that are reached."""
+        return self._health.reach_evidence
+
+    @property
+    def departure(self) -> DepartureDecision | None:
+        """The decision of the failure domain's balancers, if they make one."""
+        return self._departure
+
     def handle_ready_packets(self) -> None:
         """Handle all packets that have arrived, then the work that is due."""
         while True:
@@ -229,6 +262,10 @@
         """Set what returns the failure domains whose balancers are heard."""
         self._heard_domains = heard_domains
 
+    def set_departure(self, departure: DepartureDecision) -> None:
+        """Set the decision whether the whole failure domain leaves the rotation."""
+        self._departure = departure
+
     def set_health_listener(self, listener: HealthListener) -> None:
         """Set the listener for this process's health observations of upstreams."""
         self._health.set_listener(listener)
--- a/egrethook/forwarding/metrics.py
+++ b/egrethook/forwarding/metrics.py
@@ -100,6 +100,17 @@
             ("domains_out", "Domains out.", len(forwarder.view.domains_out)),
         ):
             yield GaugeMetricFamily(f"egrethook_{name}", text, value=value)
+        if forwarder.departure is not None:
+            yield GaugeMetricFamily(
+                "egrethook_domain_departed",
+                "Whether this failure domain reaches no upstream and has left.",
+                value=float(forwarder.departure.departed),
+            )
+            yield CounterMetricFamily(
+                "egrethook_domain_departures",
+                "Times that it has left.",
+                value=forwarder.departure.departures,
+            )
 
 
 def _by_reason(name: str, text: str, counts: dict[str, int]) -> Metric:
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -10,13 +10,15 @@
 
 from egrethook.addresses import Address
 from egrethook.balancers.gossip import Gossip
-from egrethook.balancers.gossip_codec import MemberInfo
+from egrethook.balancers.gossip_codec import MemberInfo, ReachReport
 from egrethook.balancers.gossip_members import GossipMembers
 from egrethook.clock import SuspensionDetector
 from egrethook.datagrams import bind_when_free
 from egrethook.discovery.follower import RegistryFollower
 from egrethook.discovery.records import RecordSource
 from egrethook.error_boundary import ErrorBoundary
+from egrethook.forwarding.domain_departure import DomainDeparture
+from egrethook.forwarding.features import Feature
 from egrethook.forwarding.forwarder import Forwarder
 from egrethook.forwarding.interleaving import ImportInterleaver
 from egrethook.forwarding.settings import SettingsFile
@@ -33,6 +35,9 @@
 HOUSEKEEPING_INTERVAL_S = 0.2
 """Interval between housekeeping rounds, in seconds."""
 
+DEPARTURE_CHECK_INTERVAL_S = 0.05
+"""Interval between decisions whether the failure domain departs, in seconds."""
+
 SETTINGS_CHECK_INTERVAL_S = 1.0
 """Interval between checks of the settings file, in seconds."""
 
@@ -104,10 +109,21 @@
         )
         forwarder.set_cold_sender_check(self._is_cold_sender)
         forwarder.set_heard_domains(self._heard_domains)
+        self._departure = DomainDeparture(
+            settings.failure_domain,
+            forwarder.reach_evidence,
+            forwarder.view.domains_with_upstreams,
+            self._members,
+            self._send_reach_report,
+        )
+        if Feature.DOMAIN_DEPARTURE in settings.enabled_features:
+            forwarder.set_departure(self._departure)
+            self._gossip.set_handler(ReachReport, self._on_reach_report)
         self._follower = RegistryFollower(
             source, forwarder.replica, self._should_read_registry, self._clock, rng
         )
         self._suspension_detector = SuspensionDetector()
+        self._departure_errors = ErrorBoundary(_LOG, "domain departure")
         self._reload_errors = ErrorBoundary(_LOG, "settings reload")
 
     async def run(self) -> None:
@@ -121,6 +137,7 @@
                     self._serve_packets,
                     self._run_due_work,
                     self._run_housekeeping,
+                    self._run_departure,
                     self._watch_settings,
                     self._follower.run,
                     self._gossip.send_digests,
@@ -178,6 +195,22 @@
             members.live_domains(self._clock.now()), members.known_domains()
         )
 
+    # Domain departure ------------------------------------------------------------
+
+    async def _run_departure(self) -> None:
+        """Decide with the other balancers whether the failure domain departs."""
+        while self._forwarder.departure is not None:
+            await anyio.sleep(DEPARTURE_CHECK_INTERVAL_S)
+            with self._departure_errors:
+                self._departure.step(self._clock.now())
+
+    def _on_reach_report(self, report: ReachReport, source: Address) -> None:
+        self._departure.note_report(report, self._clock.now())
+
+    def _send_reach_report(self, report: ReachReport, limit: int | None) -> None:
+        targets = self._members.report_targets(self._clock.now())
+        self._gossip.send_to(report, targets[:limit])
+
     def _is_cold_sender(self, upstream: str) -> bool:
         return self._members.is_among_first(
             upstream, SENDERS_PER_UPSTREAM, self._clock.now()
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -10,6 +10,7 @@
 from zlib import crc32
 
 from egrethook.logs import PartLog
+from egrethook.upstreams.reach_evidence import ReachEvidence
 from egrethook.upstreams.upstream import Upstream
 
 EJECTION_THRESHOLD = 2
@@ -111,6 +112,12 @@
         self._domain_answered_at: dict[str, float] = {}
         self._domain_unanswered_at: dict[str, float] = {}
         self._started_at = float("-inf")
+        self._reach_evidence = ReachEvidence()
+
+    @property
+    def reach_evidence(self) -> ReachEvidence:
+        """What the openings show about each failure domain."""
+        return self._reach_evidence
 
     def set_listener(self, listener: HealthListener) -> None:
         """Set the receiver of this balancer's observations."""
@@ -127,6 +134,7 @@
         if upstream.answered_at > sent_at:
             return
         self._domain_unanswered_at[upstream.domain] = now
+        self._reach_evidence.note_unanswered(upstream.domain, sent_at, now)
         self._count_unanswered(upstream, now - sent_at, now, from_peer=False)
         # Without recent answers from this domain, the fault may be on this side, so
         # the other balancers are not notified.
@@ -142,12 +150,14 @@
             self._notify(upstream, HealthObservation(True))
         upstream.answered_at = self._domain_answered_at[upstream.domain] = now
         upstream.alive_at = now
+        self._reach_evidence.note_answer(upstream.domain, now)
         self._reinstate(upstream, now, from_peer=False)
 
     def note_progress(self, upstream: Upstream, now: float) -> None:
         """Record that a request on an open flow was answered, even in part."""
         upstream.alive_at = now
         upstream.stalled_since = None
+        self._reach_evidence.note_answer(upstream.domain, now)
 
     def note_stalled_request(
         self, upstream: Upstream, sent_at: float, now: float
@@ -166,6 +176,7 @@
     def note_interruption(self, now: float) -> None:
         """Start afresh: this process has started or been paused."""
         self._started_at = now
+        self._reach_evidence.forget_unanswered()
 
     def is_gone(self, upstream: Upstream, gets_openings: bool, now: float) -> bool:
         """Return whether an upstream shows no sign of life any more.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,10 +17,13 @@
 import pytest
 
 from egrethook.addresses import Address
+from egrethook.emulator.soak import domain_cut
+from egrethook.emulator.soak.domain_cut import DomainCut
 from egrethook.emulator.soak.faults import SoakFaults, _Exclusion
 from egrethook.emulator.soak.fleet import SoakFleet, SoakVm
 from egrethook.emulator.soak.peers import CALM_TIME_S, PacketUpstream
 from egrethook.emulator.soak.run import Soak, SoakOptions
+from egrethook.emulator.soak.store import StoreEmulator
 from egrethook.error_boundary import UNEXPECTED_ERROR
 
 REGRESSION_SEEDS = {
@@ -147,3 +150,41 @@
     assert not upstream.is_calm
     monkeypatch.setattr(time, "monotonic", lambda: now + CALM_TIME_S + 1.0)
     assert upstream.is_calm
+
+
+@pytest.mark.parametrize(
+    ("left_during_cut", "expected"),
+    [
+        (("vm-0", "vm-1"), []),
+        (("vm-0",), ["vm-1 did not leave the rotation within 0.2 s"]),
+        (("vm-0", "vm-1", "vm-2"), ["vm-2 left while a was cut off"]),
+    ],
+)
+def test_only_the_processes_of_a_domain_that_is_cut_off_must_leave(
+    monkeypatch, left_during_cut, expected
+):
+    monkeypatch.setattr(domain_cut, "LEAVE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(domain_cut, "STAY_OUT_S", 0.1)
+    vms = [
+        SoakVm(f"vm-{n}", domain, f"127.0.0.{n + 1}", 1, None, failed_probes=0)
+        for n, domain in enumerate("aab")
+    ]
+    upstream = PacketUpstream("i-1", "s", "b", Address("127.0.0.9", 1), 1, [])
+    violations = []
+    fleet, store = SoakFleet(vms, Path(), violations), StoreEmulator()
+
+    async def follow_the_cut():
+        while True:
+            for vm in vms:
+                is_out = upstream.drops_packets and vm.name in left_during_cut
+                vm.failed_probes = 2 if is_out else 0
+            await anyio.sleep(0.01)
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follow_the_cut)
+            await DomainCut("a", fleet, store, [upstream], violations).run()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert [violation.what for violation in violations] == expected
