Count a departure without a cut as a violation of the soak

Cause: the soak checked the rotation during its cut only, so that a domain that left under the random faults before it passed. Change: processes that log a departure before the cut, or outside of the domain that is cut off, are violations.

--- a/egrethook/emulator/soak/domain_cut.py
+++ b/egrethook/emulator/soak/domain_cut.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 import anyio
 
 from egrethook.emulator.soak.fleet import SoakFleet, SoakVm
 from egrethook.emulator.soak.peers import PacketUpstream, Violation
 from egrethook.emulator.soak.store import StoreEmulator
+from egrethook.forwarding.domain_departure import DEPARTED_SENTENCE
 from egrethook.upstreams.reach_evidence import LASTING_SILENCE_S
 from egrethook.upstreams.reachability import RETRY_AFTER_S
 
@@ -69,12 +70,14 @@
 
     async def run(self) -> None:
         """Cut the domain off, end the cut, and check the rotation all the time."""
+        self._check_logs(self._fleet.vms)
         inside = [vm for vm in self._fleet.vms if vm.domain == self._domain]
         self._set_cut(inside)
         await self._wait_for("leave", inside, lambda vm: not vm.in_rotation)
         await self._stay_out([vm for vm in inside if not vm.in_rotation])
         self._set_cut([])
         await self._wait_for("return", inside, lambda vm: vm.in_rotation)
+        self._check_logs(vm for vm in self._fleet.vms if vm not in inside)
 
     def _set_cut(self, vms: Collection[SoakVm]) -> None:
         """Drop the packets of some processes; of none ends the cut."""
@@ -115,6 +118,12 @@
             if vm.domain != self._domain and not vm.in_rotation:
                 self._record(f"{vm.name} left while {self._domain} was cut off")
 
+    def _check_logs(self, vms: Iterable[SoakVm]) -> None:
+        """Record a violation for each process that left without a cut."""
+        for vm in vms:
+            if self._fleet.has_logged(vm, DEPARTED_SENTENCE):
+                self._record(f"{vm.name} left though its domain was not cut off")
+
     def _record(self, what: str) -> None:
         if what not in (violation.what for violation in self._violations):
             self._violations.append(Violation(time.monotonic(), "departure", what))
--- a/egrethook/emulator/soak/fleet.py
+++ b/egrethook/emulator/soak/fleet.py
@@ -225,6 +225,11 @@
                 what = f"{path.stem} logged an unexpected error"
                 self._violations.append(Violation(time.monotonic(), "error", what))
 
+    def has_logged(self, vm: SoakVm, sentence: str) -> bool:
+        """Return whether any process of a VM has logged a sentence."""
+        logs = self._folder.glob(f"{vm.name}-*.log")
+        return any(sentence in log.read_text(errors="replace") for log in logs)
+
     def check_processes(self) -> None:
         """Record a violation for each process that has ended by itself.
 
--- a/egrethook/forwarding/domain_departure.py
+++ b/egrethook/forwarding/domain_departure.py
@@ -43,6 +43,9 @@
 CONFIRMED_CONTACT_S = 1.0
 """Time in which two datagrams show that a failure domain is heard, in seconds."""
 
+DEPARTED_SENTENCE = "no upstream is reachable from this failure domain; not ready."
+"""What is logged when the failure domain leaves the rotation."""
+
 _LOG = PartLog("departure")
 
 
@@ -224,7 +227,7 @@
             self._evidence.forget_unanswered()
         tally = self._agreement.tally
         sentence = (
-            "no upstream is reachable from this failure domain; not ready."
+            DEPARTED_SENTENCE
             if self.departed
             else "this failure domain reaches upstreams again, or tries to; ready."
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
 from egrethook.emulator.soak.run import Soak, SoakOptions
 from egrethook.emulator.soak.store import StoreEmulator
 from egrethook.error_boundary import UNEXPECTED_ERROR
+from egrethook.forwarding.domain_departure import DEPARTED_SENTENCE
 
 REGRESSION_SEEDS = {
     9: "SIGTERM while libraries were loading ended the process with -15",
@@ -161,7 +162,7 @@
     ],
 )
 def test_only_the_processes_of_a_domain_that_is_cut_off_must_leave(
-    monkeypatch, left_during_cut, expected
+    tmp_path, monkeypatch, left_during_cut, expected
 ):
     monkeypatch.setattr(domain_cut, "LEAVE_TIMEOUT_S", 0.2)
     monkeypatch.setattr(domain_cut, "STAY_OUT_S", 0.1)
@@ -171,7 +172,7 @@
     ]
     upstream = PacketUpstream("i-1", "s", "b", Address("127.0.0.9", 1), 1, [])
     violations = []
-    fleet, store = SoakFleet(vms, Path(), violations), StoreEmulator()
+    fleet, store = SoakFleet(vms, tmp_path, violations), StoreEmulator()
 
     async def follow_the_cut():
         while True:
@@ -188,3 +189,12 @@
 
     anyio.run(run)
     assert [violation.what for violation in violations] == expected
+
+
+def test_departure_without_a_cut_is_a_violation(tmp_path):
+    vm = SoakVm("vm-0", "a", "127.0.0.1", 1, None)
+    (tmp_path / "vm-0-3.log").write_text(f"departure: {DEPARTED_SENTENCE}")
+    violations = []
+    fleet = SoakFleet([vm], tmp_path, violations)
+    DomainCut("b", fleet, StoreEmulator(), [], violations)._check_logs([vm])
+    assert [violation.rule for violation in violations] == ["departure"]
