--- a/tests/test_domain_departure.py
+++ b/tests/test_domain_departure.py
@@ -215,6 +215,20 @@
     assert departures(world, *"abc") == 0
 
 
+@pytest.mark.parametrize("size", [3, 20])
+def test_link_that_keeps_failing_makes_a_domain_leave_rarely(size):
+    """Cut for 2 s of each 4 s: each relapse doubles the shortest absence."""
+    world = make_world(1, size, until=44.0)
+    for _ in range(10):
+        world.cut_off("a")
+        world.run(world.now + 2.0)
+        world.heal()
+        world.run(world.now + 2.0)
+    assert departures(world, "a") <= 5 * size
+    assert departures(world, "b", "c") == 0
+    assert world.run_until(lambda: all_ready(world), 20.0) is not None
+
+
 def test_dead_balancers_of_the_other_domains_make_no_domain_leave():
     world = make_world(1, 3)
     for domain in "bc":
