--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -69,13 +69,15 @@
 class _SimulatedPacketPort:
     """Passes the packets of a dispatcher to the simulation."""
 
-    def __init__(self, world: FlowWorld, domain: str) -> None:
+    def __init__(self, world: FlowWorld, domain: str, vm: int) -> None:
         self._world = world
         self._domain = domain
+        self._vm = vm
 
     def to_upstream(self, address: tuple[str, int], packet: bytes) -> None:
         """Send a packet to an upstream."""
-        self._world.packet_to_upstream(self._domain, address[0], packet)
+        if self._world.passes(self._vm, address[0]):
+            self._world.packet_to_upstream(self._domain, address[0], packet)
 
     def to_caller(self, caller: IPv4Endpoint, packet: bytes) -> None:
         """Reset the caller; the only packets sent to callers are resets."""
@@ -174,14 +176,15 @@
     def _new_vm(self, domain: str) -> SimulatedVm:
         view = ForwardingView(self.decoder, flow_life_s=60.0)
         limit = self._new_limit()
-        name = f"vm-{next(self._vm_numbers)}"
+        number = next(self._vm_numbers)
+        name = f"vm-{number}"
         dispatcher, health, _, outliers = build_data_path(
             name,
             domain,
             self._features,
             view,
             PacketHeader(),
-            _SimulatedPacketPort(self, domain),
+            _SimulatedPacketPort(self, domain, number),
             limit,
             NoColdLimit(),
         )
@@ -431,6 +434,10 @@
 
     # Upstreams -------------------------------------------------------------------
 
+    def passes(self, vm: int, upstream: str) -> bool:
+        """Return whether packets of a balancer reach an upstream; see subclasses."""
+        return True
+
     def packet_to_upstream(self, domain: str, name: str, packet: bytes) -> None:
         """Deliver a packet from a balancer to an upstream after the link delay."""
         upstream = self.upstreams[name]
