Place openings by expected finish: costs, speeds and outstanding work

Requests that look alike cost very different amounts of work, and upstreams are unevenly fast. The selector compares busy flows; a balancer of many sees hardly any, so that all upstreams look alike to it, and balancers that start together take the same ones.

With the feature cost-aware-placement a balancer learns the cost of requests by route and size, as a distribution, and apart from it the speed of each upstream. An opening goes where it is expected to be answered first: outstanding work over the slots, the route's cost at the upstream's speed, and a share for what other balancers place there likewise. Retransmitted requests, and those measured across a pause, a silence or a wait for a slot, are not learned. The comparison stands behind a Protocol; the present one is unchanged and in use without the feature. LeastFlowsSelector is now LowestCostSelector with LeastFlowsCost.

Weighed and left out: a flow limit that forgives late answers which the tail of the costs explains.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -14,6 +14,7 @@
     ForwardedFlow,
 )
 from egrethook.callers.held_packets import HeldPackets, ReceivedPacket
+from egrethook.callers.interruptions import Interruptions
 from egrethook.callers.opening_queues import OpeningQueues
 from egrethook.callers.segments import IPv4Endpoint, PacketPort, Segment, SegmentCodec
 from egrethook.discovery.view import ForwardingView, pick_service
@@ -114,6 +115,7 @@
         self._answer_times = AnswerTimes()
         self._last_expiry_at = 0.0
         self._ticked_at = float("-inf")
+        self._interruptions = Interruptions()
         self._view_is_fresh = False
 
     @property
@@ -165,6 +167,7 @@
             # The process was paused, or got no processor time.
             self._health.note_interruption(now)
         self._ticked_at = now
+        self._interruptions.note_tick(now)
         resend_due_at = self._resend_due_at
         while resend_due_at:
             flow_key, due = next(iter(resend_due_at.items()))
@@ -394,9 +397,11 @@
             upstream.note_service_time(service_s)
             self._limit.note_answer(upstream, service_s, flow.route.objective_s, now)
             self._counts.request_times.observe(service_s)
+            is_held_up = self._interruptions.fall_into(flow.sent_at, now)
+            outcome = flow.outcome(segment, service_s, is_held_up)
             self._health.note_progress(upstream, now)
             for listener in self._listeners:
-                listener.request_answered(flow.outcome(segment, service_s), now)
+                listener.request_answered(outcome, now)
             flow.record_answer(segment)
         if flow.is_new_data(segment):
             flow.record_request(segment, now)
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -36,7 +36,7 @@
     OPEN = "open"
 
 
-class ForwardedFlow(Struct):
+class ForwardedFlow(Struct, eq=False):
     """One flow, and the capacity that it occupies at its upstream.
 
     `tried` holds the upstreams that the opening was sent to, and only the flow's
@@ -67,6 +67,7 @@
     _acknowledged: int = 0
     _request_start: int = 0
     _retransmitted: bool = False
+    _found_busy: int = 0
 
     @property
     def first_sent_at(self) -> float:
@@ -94,6 +95,11 @@
         """Whether the flow occupies capacity at its upstream."""
         return self._busy
 
+    @property
+    def request_bytes(self) -> int:
+        """Bytes of the current or latest request that have passed."""
+        return (self._request_end - self._request_start) % SEQUENCE_MODULUS
+
     @property
     def may_be_moved(self) -> bool:
         """Whether its caller may open another flow without running a request twice."""
@@ -108,6 +114,7 @@
         """Occupy capacity at one upstream, and release any other."""
         self.release()
         upstream.busy_flows += 1
+        upstream.requests[self] = None
         self._upstream = upstream
         self._busy = True
 
@@ -116,6 +123,7 @@
         if self._upstream is not None and self._busy:
             self._upstream.busy_flows -= 1
             self._upstream.idle_flows += 1
+            self._upstream.requests.pop(self, None)
             self._busy = False
 
     def release(self) -> None:
@@ -124,6 +132,7 @@
             return
         if self._busy:
             self._upstream.busy_flows -= 1
+            self._upstream.requests.pop(self, None)
         else:
             self._upstream.idle_flows -= 1
         self._upstream = None
@@ -141,20 +150,31 @@
         self._request_waits = True
         self._retransmitted = False
         self._acknowledged = segment.acknowledged
+        self._found_busy = upstream.busy_flows - 1
 
     def is_answered_by(self, segment: Segment) -> bool:
         """Return whether a packet shows that an answer has begun to arrive."""
         return self._busy and is_after(segment.acknowledged, self._acknowledged)
 
-    def outcome(self, segment: Segment, service_s: float) -> RequestOutcome:
-        """Return what a packet that acknowledges a first part of an answer shows."""
+    def outcome(
+        self, segment: Segment, service_s: float, interrupted: bool
+    ) -> RequestOutcome:
+        """Return what a packet that acknowledges a first part of an answer shows.
+
+        Parameters
+        ----------
+        interrupted : bool
+            Whether this process stood still during the request.
+        """
         return RequestOutcome(
             upstream=self.tried[0],
             route=self.route,
-            request_bytes=(self._request_end - self._request_start) % SEQUENCE_MODULUS,
+            request_bytes=self.request_bytes,
             answer_bytes=(segment.acknowledged - self._acknowledged) % SEQUENCE_MODULUS,
             service_s=service_s,
             retransmitted=self._retransmitted,
+            found_busy=self._found_busy,
+            interrupted=interrupted or self.tried[0].stalled_since is not None,
         )
 
     def record_answer(self, segment: Segment) -> None:
@@ -193,6 +213,7 @@
             self._acknowledged = segment.acknowledged
             self.sent_at = now
             self.occupy(self.tried[0])
+            self._found_busy = self.tried[0].busy_flows - 1
 
 
 class DispatcherCounts(Struct):
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -35,7 +35,7 @@
     upstream_record,
 )
 from egrethook.emulator.packets import Packet
-from egrethook.forwarding.data_path import build_data_path
+from egrethook.forwarding.data_path import CostAwarePlacement, build_data_path
 from egrethook.forwarding.features import Feature
 from egrethook.platform.packet_header import (
     ACK,
@@ -94,6 +94,7 @@
     up: bool = True
     paused: bool = False
     waiting_packets: list[bytes] = field(default_factory=list)
+    cost_aware: CostAwarePlacement | None = None
 
 
 def _default_limit() -> FlowLimit:
@@ -119,6 +120,8 @@
         Share of the packets from callers that get lost.
     features : collection of Feature
         The optional parts of the balancers that are switched on.
+    objective_s : float
+        Latency objective of the route, in seconds.
 
     Attributes
     ----------
@@ -138,6 +141,7 @@
         shares_health: bool = True,
         loss_share: float = 0.0,
         features: Collection[Feature] = (),
+        objective_s: float = 0.15,
     ) -> None:
         self.rng = random.Random(seed)
         self.caller_delay_s = caller_delay_s
@@ -146,6 +150,8 @@
         self._shares_health = shares_health
         self._loss_share = loss_share
         self._features = features
+        self._objective_s = objective_s
+        self.draw_service_time_s = lambda: self.rng.uniform(0.012, 0.035)
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
@@ -166,7 +172,7 @@
     def _new_vm(self, domain: str) -> SimulatedVm:
         view = ForwardingView(self.decoder, flow_life_s=60.0)
         limit = self._new_limit()
-        dispatcher, health, _ = build_data_path(
+        dispatcher, health, _, cost_aware = build_data_path(
             f"vm-{next(self._vm_numbers)}",
             domain,
             self._features,
@@ -177,7 +183,7 @@
             NoColdLimit(),
         )
         dispatcher.view_is_fresh = True
-        vm = SimulatedVm(domain, view, dispatcher, health)
+        vm = SimulatedVm(domain, view, dispatcher, health, cost_aware=cost_aware)
         if self._shares_health:
             health.set_listener(partial(self._share_health, vm))
         return vm
@@ -207,9 +213,8 @@
 
     def publish(self, vm: SimulatedVm, revision: int = 1) -> None:
         """Publish the configuration and all upstreams to a balancer."""
-        items = [
-            PublishedItem(ItemKind.ROUTES, "", revision, self._encode(route_table()))
-        ]
+        routes = route_table(objective_s=self._objective_s)
+        items = [PublishedItem(ItemKind.ROUTES, "", revision, self._encode(routes))]
         for upstream in self.upstreams.values():
             value = self._encode(upstream.record)
             name = upstream.record.name
@@ -279,7 +284,7 @@
         think_time_s: Callable[[], float] | None,
     ) -> Call:
         if service_time_s is None:
-            service_time_s = self.rng.uniform(0.012, 0.035)
+            service_time_s = self.draw_service_time_s()
         number = len(self.calls)
         host = CALLER_HOST + number % CALLER_COUNT
         call = Call(
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
+from zlib import crc32
 
 from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.callers.segments import PacketPort, SegmentCodec
@@ -15,20 +16,38 @@
 from egrethook.upstreams.cold_limit import ColdAdmission
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
+from egrethook.upstreams.learned_speeds import LearnedSpeeds
+from egrethook.upstreams.outstanding import OutstandingWork
+from egrethook.upstreams.placement import ExpectedFinishCost, LeastFlowsCost
+from egrethook.upstreams.request_costs import RequestCosts
 from egrethook.upstreams.requests import RequestListener
 from egrethook.upstreams.selection import (
     CandidateFilter,
-    LeastFlowsSelector,
+    CostTerm,
+    LowestCostSelector,
+    PlacementCost,
     UpstreamSelector,
 )
 
 
+class CostAwarePlacement(NamedTuple):
+    """The parts that learn what openings cost, and what compares upstreams by it."""
+
+    costs: RequestCosts
+    speeds: LearnedSpeeds
+    comparison: ExpectedFinishCost
+
+
 class DataPath(NamedTuple):
-    """The parts that decide where the flows of callers go."""
+    """The parts that decide where the flows of callers go.
+
+    `cost_aware` is None unless `Feature.COST_AWARE_PLACEMENT` is on.
+    """
 
     dispatcher: FlowDispatcher
     health: PassiveHealth
     selector: UpstreamSelector
+    cost_aware: CostAwarePlacement | None = None
 
 
 def build_data_path(
@@ -63,6 +82,27 @@
     health = PassiveHealth(name)
     filters: list[CandidateFilter] = []
     listeners: list[RequestListener] = []
-    selector = LeastFlowsSelector(domain, limit, cold_admission, filters)
+    terms: list[CostTerm] = []
+    cost: PlacementCost = LeastFlowsCost(domain)
+    cost_aware = None
+    first_round = 0
+    if Feature.COST_AWARE_PLACEMENT in features:
+        cost_aware = _cost_aware_placement(domain, terms)
+        cost = cost_aware.comparison
+        listeners += [cost_aware.speeds, cost_aware.costs]
+        first_round = crc32(name.encode())
+    selector = LowestCostSelector(
+        domain, limit, cold_admission, cost, filters, first_round
+    )
     dispatcher = FlowDispatcher(view, codec, port, selector, limit, health, listeners)
-    return DataPath(dispatcher, health, selector)
+    return DataPath(dispatcher, health, selector, cost_aware)
+
+
+def _cost_aware_placement(domain: str, terms: Sequence[CostTerm]) -> CostAwarePlacement:
+    """Return the connected parts of cost-aware placement."""
+    costs = RequestCosts()
+    speeds = LearnedSpeeds(costs)
+    costs.set_time_factors(speeds)
+    outstanding = OutstandingWork(costs)
+    comparison = ExpectedFinishCost(domain, costs, speeds, outstanding, terms)
+    return CostAwarePlacement(costs, speeds, comparison)
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -20,7 +20,7 @@
 from egrethook.discovery.replica import Replica
 from egrethook.discovery.view import ForwardingView
 from egrethook.error_boundary import ErrorBoundary
-from egrethook.forwarding.data_path import build_data_path
+from egrethook.forwarding.data_path import CostAwarePlacement, build_data_path
 from egrethook.forwarding.settings import ForwarderSettings
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
@@ -118,6 +118,7 @@
         )
         self._health = data_path.health
         self._dispatcher = data_path.dispatcher
+        self._cost_aware = data_path.cost_aware
         self._heard_domains: Callable[[], HeardDomains] = HeardDomains
         self._reachability = Reachability(
             settings.failure_domain,
@@ -161,6 +162,11 @@
         """Assigns flows to upstreams and forwards their packets."""
         return self._dispatcher
 
+    @property
+    def cost_aware(self) -> CostAwarePlacement | None:
+        """What cost-aware placement has learned; None if it is off."""
+        return self._cost_aware
+
     @property
     def leave_requested(self) -> bool:
         """Whether this process has been told to leave."""
--- a/egrethook/forwarding/metrics.py
+++ b/egrethook/forwarding/metrics.py
@@ -12,6 +12,7 @@
 )
 from prometheus_client.metrics_core import Metric
 
+from egrethook.forwarding.data_path import CostAwarePlacement
 from egrethook.forwarding.forwarder import Forwarder
 
 ProcessCounts = Callable[[], dict[str, float]]
@@ -46,6 +47,8 @@
         """Yield all metrics."""
         yield from self._flow_metrics()
         yield from self._view_metrics()
+        if self._forwarder.cost_aware is not None:
+            yield from cost_metrics(self._forwarder.cost_aware)
         for name, value in self._process_counts().items():
             yield CounterMetricFamily(f"egrethook_{name}", _HELP[name], value=value)
 
@@ -102,6 +105,32 @@
             yield GaugeMetricFamily(f"egrethook_{name}", text, value=value)
 
 
+def cost_metrics(cost_aware: CostAwarePlacement) -> Iterator[Metric]:
+    """Yield the metrics of cost-aware placement."""
+    costs = GaugeMetricFamily(
+        "egrethook_route_cost_seconds",
+        "Mean cost of a request at a typical upstream.",
+        labels=["route"],
+    )
+    for route in cost_aware.costs.by_route():
+        costs.add_metric([route.route], route.mean_s)
+    yield costs
+    spread = cost_aware.speeds.spread()
+    factors = GaugeMetricFamily(
+        "egrethook_upstream_time_factor",
+        "Time that the fastest and the slowest upstream take, over the typical one.",
+        labels=["upstream"],
+    )
+    factors.add_metric(["fastest"], spread.smallest)
+    factors.add_metric(["slowest"], spread.largest)
+    yield factors
+    yield GaugeMetricFamily(
+        "egrethook_upstreams_measured",
+        "Upstreams with an estimate of their speed.",
+        value=spread.upstreams,
+    )
+
+
 def _by_reason(name: str, text: str, counts: dict[str, int]) -> Metric:
     family = CounterMetricFamily(f"egrethook_{name}", text, labels=["reason"])
     for reason, count in counts.items():
--- /dev/null
+++ b/egrethook/upstreams/placement.py
@@ -0,0 +1,423 @@
+"""Ways to compare upstreams for an opening: by busy flows, or by expected finish."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Sequence
+from typing import NamedTuple, Protocol
+
+from egrethook.discovery.records import Route
+from egrethook.upstreams.outstanding import OutstandingWork, PlacedWork
+from egrethook.upstreams.selection import CostTerm, Opening
+from egrethook.upstreams.upstream import Upstream
+
+REMOTE_DOMAIN_COST = 0.7
+"""Cost of an upstream in another failure domain, in busy flows."""
+
+UNANSWERED_DOMAIN_COST = 3.0
+"""Cost of an upstream in a domain that left the caller unanswered, in busy flows."""
+
+UNANSWERED_COST = 6.0
+"""Cost of an upstream that left the caller unanswered, in busy flows."""
+
+SLOW_SERVICE_TIME_FACTOR = 2.0
+"""Factor over the median service time above which an upstream is slow."""
+
+REMOTE_SHARE_COST = 0.2
+"""Cost of an upstream in another failure domain, in requests of expected cost."""
+
+PLACED_SHARE_COST = 0.5
+"""Cost of an upstream that got the mean placed work of its domain, in requests.
+
+Other balancers place theirs likewise: what they have at an upstream can't be seen here.
+"""
+
+OVERLOADED_COST_S = 30.0
+"""Cost of an upstream whose outstanding work passes the objective, in seconds."""
+
+SUMMARY_LIFE_S = 0.5
+"""Time for which what candidates cost without load is kept, in seconds."""
+
+
+class LeastFlowsCost:
+    """Prefers few busy flows, the local failure domain and normal service times.
+
+    Parameters
+    ----------
+    domain : str
+        The failure domain of this balancer.
+    """
+
+    def __init__(self, domain: str) -> None:
+        self._domain = domain
+
+    def for_opening(
+        self, pool: Sequence[Upstream], opening: Opening
+    ) -> Callable[[Upstream], float]:
+        """Return the cost function for comparing candidates, in busy flows."""
+        unanswered = _unanswered(opening)
+        unanswered_domains = {upstream.domain for upstream in unanswered}
+        times = sorted(
+            upstream.service_time_s for upstream in pool if upstream.service_time_s
+        )
+        typical_s = times[len(times) // 2] if times else 0.0
+        domain = self._domain
+        idle_weight = _busy_share(pool)
+
+        def cost(upstream: Upstream) -> float:
+            value = upstream.busy_flows + idle_weight * upstream.idle_flows + 1.0
+            if upstream.service_time_s > SLOW_SERVICE_TIME_FACTOR * typical_s > 0.0:
+                value *= upstream.service_time_s / typical_s
+            if upstream.domain != domain:
+                value += REMOTE_DOMAIN_COST
+            if upstream.domain in unanswered_domains:
+                value += UNANSWERED_DOMAIN_COST
+            if upstream in unanswered:
+                value += UNANSWERED_COST
+            return value
+
+        return cost
+
+    def note_placed(self, upstream: Upstream, opening: Opening) -> None:
+        """Do nothing; busy flows are counted elsewhere."""
+
+
+class CandidateEstimate(NamedTuple):
+    """What is expected of an upstream for one opening. All times are in seconds.
+
+    Parameters
+    ----------
+    time_factor : float
+        How long the upstream takes, compared with a typical one.
+    service_s : float
+        Expected time that it works on the request.
+    outstanding_s : float
+        Work that it still has to do for this balancer.
+    wait_s : float
+        Expected wait for one of its slots.
+    crowding_s : float
+        Expected wait for what other balancers have placed there.
+    domain_s : float
+        For another failure domain.
+    penalty_s : float
+        For earlier silence, and for outstanding work above the objective.
+    terms_s : float
+        Sum of the additional terms.
+    """
+
+    upstream: Upstream
+    time_factor: float
+    service_s: float
+    outstanding_s: float
+    wait_s: float
+    crowding_s: float
+    domain_s: float
+    penalty_s: float
+    terms_s: float
+
+    @property
+    def finish_s(self) -> float:
+        """Expected time until the answer, with all penalties and terms."""
+        return (
+            self.service_s
+            + self.wait_s
+            + self.crowding_s
+            + self.domain_s
+            + self.penalty_s
+            + self.terms_s
+        )
+
+
+class ExpectedCosts(Protocol):
+    """Tells the expected cost of a new request."""
+
+    def expected_s(self, route: Route, service: str) -> float:
+        """Return the expected cost at a typical upstream, in seconds."""
+        ...
+
+
+class UpstreamFactors(Protocol):
+    """Tells how long upstreams take, compared with typical ones."""
+
+    @property
+    def factors(self) -> dict[int, float]:
+        """The time factor of each upstream with an estimate, by token."""
+        ...
+
+
+class _Weights(NamedTuple):
+    """What an upstream costs whatever is in progress, in requests of expected cost.
+
+    Parameters
+    ----------
+    time_factor : float
+        How long the upstream takes, compared with a typical one.
+    crowding : float
+        For what other balancers have placed there.
+    domain : float
+        For another failure domain.
+    """
+
+    time_factor: float
+    crowding: float
+    domain: float
+
+    @property
+    def total(self) -> float:
+        """The sum of all parts."""
+        return self.time_factor + self.crowding + self.domain
+
+
+class _PoolSummary:
+    """What is kept for a while of the candidates of a service.
+
+    Attributes
+    ----------
+    valid_until : float
+        When it is to be computed anew, in seconds.
+    busy_share : float
+        Share of the flows that are busy; 0.0 without idle flows.
+    placed_means : dict
+        Placed work for each slot of a failure domain, by domain.
+    one_request : float
+        One request in the unit of placed work; evens out small numbers.
+    totals : dict
+        The total weight of each upstream, by token.
+    """
+
+    __slots__ = (
+        "busy_share",
+        "one_request",
+        "placed_means",
+        "totals",
+        "valid_until",
+    )
+
+    def __init__(
+        self,
+        pool: Sequence[Upstream],
+        placed: dict[int, float],
+        one_request: float,
+        now: float,
+    ) -> None:
+        self.one_request = one_request
+        self.valid_until = now + SUMMARY_LIFE_S
+        self.busy_share = _busy_share(pool)
+        self.totals: dict[int, float] = {}
+        work: dict[str, float] = {}
+        slots: dict[str, int] = {}
+        for upstream in pool:
+            domain = upstream.domain
+            work[domain] = work.get(domain, 0.0) + placed.get(upstream.token, 0.0)
+            slots[domain] = slots.get(domain, 0) + _slots(upstream)
+        self.placed_means = {domain: work[domain] / slots[domain] for domain in work}
+
+
+class _Load(NamedTuple):
+    """What an upstream still has to do for this balancer, in seconds."""
+
+    outstanding_s: float
+    wait_s: float
+    penalty_s: float
+
+    @property
+    def cost_s(self) -> float:
+        """What it adds to the cost of an opening, in seconds."""
+        return self.wait_s + self.penalty_s
+
+
+class _Context(NamedTuple):
+    """What is the same for all candidates of an opening.
+
+    Parameters
+    ----------
+    cost_s : float
+        Expected cost of a request of the route, in seconds.
+    unanswered : collection of Upstream
+        Upstreams that left the opening, or an earlier one, unanswered.
+    terms : sequence of callable
+        Additional costs of a candidate, in seconds.
+    """
+
+    now: float
+    cost_s: float
+    objective_s: float
+    summary: _PoolSummary
+    unanswered: Collection[Upstream]
+    terms: Sequence[Callable[[Upstream], float]]
+
+    def silence_s(self, upstream: Upstream) -> float:
+        """Return the cost of earlier silence, in seconds."""
+        if not self.unanswered:
+            return 0.0
+        value = 0.0
+        if any(upstream.domain == one.domain for one in self.unanswered):
+            value += UNANSWERED_DOMAIN_COST
+        if upstream in self.unanswered:
+            value += UNANSWERED_COST
+        return value * self.cost_s
+
+    def terms_s(self, upstream: Upstream) -> float:
+        """Return the sum of the additional costs, in seconds."""
+        return sum([term(upstream) for term in self.terms])
+
+
+class ExpectedFinishCost:
+    """Prefers the upstream that is expected to answer first.
+
+    An expected finish is the wait for a slot, with the outstanding work of this
+    balancer, and the cost of the route's requests at the upstream's speed. What other
+    balancers have there can't be seen; it is taken to be in proportion to what this
+    balancer has placed there lately.
+
+    Parameters
+    ----------
+    domain : str
+        The failure domain of this balancer.
+    costs : ExpectedCosts
+        What requests cost at a typical upstream.
+    speeds : UpstreamFactors
+        The speeds of upstreams.
+    outstanding : OutstandingWork
+        What upstreams still have to do for this balancer.
+    terms : sequence of CostTerm
+        Costs from outside, added to each candidate's.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        costs: ExpectedCosts,
+        speeds: UpstreamFactors,
+        outstanding: OutstandingWork,
+        terms: Sequence[CostTerm] = (),
+    ) -> None:
+        self._domain = domain
+        self._costs = costs
+        self._speeds = speeds
+        self._outstanding = outstanding
+        self._terms = terms
+        self._placed = PlacedWork()
+        self._summaries: dict[str, _PoolSummary] = {}
+
+    def for_opening(
+        self, pool: Sequence[Upstream], opening: Opening
+    ) -> Callable[[Upstream], float]:
+        """Return the cost function for comparing candidates, in seconds."""
+        context = self._context(pool, opening)
+        cost_s = context.cost_s
+        totals = context.summary.totals
+        has_extras = bool(context.unanswered or context.terms)
+
+        def cost(upstream: Upstream) -> float:
+            total = totals.get(upstream.token)
+            if total is None:
+                total = totals[upstream.token] = self._weights(upstream, context).total
+            value = cost_s * total
+            if upstream.requests or upstream.idle_flows:
+                value += self._load(upstream, context).cost_s
+            if has_extras:
+                value += context.silence_s(upstream) + context.terms_s(upstream)
+            return value
+
+        return cost
+
+    def estimates(
+        self, pool: Sequence[Upstream], opening: Opening
+    ) -> list[CandidateEstimate]:
+        """Return what the cost of each candidate consists of.
+
+        Parameters
+        ----------
+        pool : sequence of Upstream
+            The candidates; not empty.
+        """
+        context = self._context(pool, opening)
+        return [self._estimate(upstream, context) for upstream in pool]
+
+    def note_placed(self, upstream: Upstream, opening: Opening) -> None:
+        """Record that an upstream gets an opening."""
+        cost_s = self._costs.expected_s(opening.route, upstream.service)
+        time_factor = self._speeds.factors.get(upstream.token, 1.0)
+        self._placed.add(upstream, cost_s * time_factor, opening.now)
+        summary = self._summaries.get(upstream.service)
+        if summary is not None:
+            summary.totals.pop(upstream.token, None)
+
+    def _context(self, pool: Sequence[Upstream], opening: Opening) -> _Context:
+        """Return what is the same for all candidates of an opening."""
+        now = opening.now
+        service = pool[0].service
+        cost_s = self._costs.expected_s(opening.route, service)
+        if self._placed.renew_if_due(now):
+            self._summaries.clear()
+        summary = self._summaries.get(service)
+        if summary is None or now >= summary.valid_until:
+            one_request = cost_s * self._placed.unit(now)
+            summary = _PoolSummary(pool, self._placed.amounts, one_request, now)
+            self._summaries[service] = summary
+        return _Context(
+            now,
+            cost_s,
+            opening.route.objective_s,
+            summary,
+            _unanswered(opening),
+            [term.for_opening(pool, opening) for term in self._terms],
+        )
+
+    def _estimate(self, upstream: Upstream, context: _Context) -> CandidateEstimate:
+        weights = self._weights(upstream, context)
+        load = self._load(upstream, context)
+        cost_s = context.cost_s
+        return CandidateEstimate(
+            upstream=upstream,
+            time_factor=weights.time_factor,
+            service_s=weights.time_factor * cost_s,
+            outstanding_s=load.outstanding_s,
+            wait_s=load.wait_s,
+            crowding_s=weights.crowding * cost_s,
+            domain_s=weights.domain * cost_s,
+            penalty_s=load.penalty_s + context.silence_s(upstream),
+            terms_s=context.terms_s(upstream),
+        )
+
+    def _weights(self, upstream: Upstream, context: _Context) -> _Weights:
+        """Return the costs of an upstream that don't change with each opening."""
+        one_request = context.summary.one_request
+        placed = self._placed.amounts.get(upstream.token, 0.0) / _slots(upstream)
+        mean = context.summary.placed_means.get(upstream.domain, 0.0)
+        return _Weights(
+            self._speeds.factors.get(upstream.token, 1.0),
+            PLACED_SHARE_COST * (placed + one_request) / (mean + one_request),
+            REMOTE_SHARE_COST if upstream.domain != self._domain else 0.0,
+        )
+
+    def _load(self, upstream: Upstream, context: _Context) -> _Load:
+        """Return what an upstream still has to do for this balancer."""
+        outstanding_s = self._outstanding.seconds(
+            upstream,
+            self._speeds.factors.get(upstream.token, 1.0),
+            context.summary.busy_share * context.cost_s,
+            context.now,
+        )
+        wait_s = outstanding_s / _slots(upstream)
+        penalty_s = OVERLOADED_COST_S if wait_s > context.objective_s else 0.0
+        return _Load(outstanding_s, wait_s, penalty_s)
+
+
+def _unanswered(opening: Opening) -> Collection[Upstream]:
+    """Return the upstreams that left the opening, or an earlier one, unanswered."""
+    if not opening.tried and not opening.avoided:
+        return ()
+    return [*opening.tried, *opening.avoided]
+
+
+def _busy_share(pool: Sequence[Upstream]) -> float:
+    """Return the expected cost of an idle flow: the share of time flows are busy."""
+    busy = sum([upstream.busy_flows for upstream in pool])
+    idle = sum([upstream.idle_flows for upstream in pool])
+    return busy / (busy + idle) if idle else 0.0
+
+
+def _slots(upstream: Upstream) -> int:
+    """Return the slots of an upstream, at least one."""
+    return upstream.record.slots or 1
--- a/egrethook/upstreams/requests.py
+++ b/egrethook/upstreams/requests.py
@@ -26,6 +26,12 @@
     retransmitted : bool
         Whether the caller has sent the request more than once; the service time then
         includes the time for which a packet was lost or held up.
+    found_busy : int
+        Other requests of this balancer that the upstream had in progress when this
+        one began.
+    interrupted : bool
+        Whether the service time includes a pause of this process or a silence of the
+        upstream.
     """
 
     upstream: Upstream
@@ -34,6 +40,22 @@
     answer_bytes: int
     service_s: float
     retransmitted: bool
+    found_busy: int = 0
+    interrupted: bool = False
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether the service time shows how long the upstream took."""
+        return not self.retransmitted and not self.interrupted
+
+    @property
+    def free_share(self) -> float:
+        """Share of the upstream's slots that this balancer left free for the request.
+
+        A request that finds all of them busy waits in the upstream's queue.
+        """
+        slots = max(1, self.upstream.record.slots)
+        return max(0.0, 1.0 - self.found_busy / slots)
 
 
 class RequestListener(Protocol):
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -10,15 +10,6 @@
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.upstream import Upstream
 
-REMOTE_DOMAIN_COST = 0.7
-"""Cost of an upstream in another failure domain, in busy flows."""
-
-UNANSWERED_DOMAIN_COST = 3.0
-"""Cost of an upstream in a domain that left the caller unanswered, in busy flows."""
-
-UNANSWERED_COST = 6.0
-"""Cost of an upstream that left the caller unanswered, in busy flows."""
-
 LOCAL_SAMPLE_SIZE = 48
 """Maximum upstreams of this balancer's failure domain compared for one opening."""
 
@@ -28,9 +19,6 @@
 SAMPLE_STRIDE = 31
 """Positions by which the sample advances with each opening."""
 
-SLOW_SERVICE_TIME_FACTOR = 2.0
-"""Factor over the median service time above which an upstream is slow."""
-
 
 class Opening(NamedTuple):
     """An opening that needs an upstream.
@@ -74,6 +62,30 @@
         ...
 
 
+class CostTerm(Protocol):
+    """Adds a cost to each candidate, for a reason that the selector doesn't know."""
+
+    def for_opening(
+        self, pool: Sequence[Upstream], opening: Opening
+    ) -> Callable[[Upstream], float]:
+        """Return the cost function for comparing candidates.
+
+        Parameters
+        ----------
+        pool : sequence of Upstream
+            All candidates, with and without room; not empty.
+        """
+        ...
+
+
+class PlacementCost(CostTerm, Protocol):
+    """Compares candidates; the one with the lowest cost gets the opening."""
+
+    def note_placed(self, upstream: Upstream, opening: Opening) -> None:
+        """Handle that an upstream gets an opening."""
+        ...
+
+
 class _DomainSplit(NamedTuple):
     """Candidates, split into those of this balancer's failure domain and others."""
 
@@ -82,8 +94,8 @@
     remote: list[Upstream]
 
 
-class LeastFlowsSelector:
-    """Prefers few busy flows, the local failure domain and normal service times.
+class LowestCostSelector:
+    """Chooses the candidate with the lowest cost among those with room.
 
     Parameters
     ----------
@@ -93,8 +105,13 @@
         Limits the busy flows of each upstream.
     cold_admission : ColdAdmission
         Limits the openings of cold upstreams.
+    cost : PlacementCost
+        Compares candidates.
     filters : sequence of CandidateFilter
         Leave out upstreams; ignored if they leave out all.
+    first_round : int
+        Where the rotation among equal candidates begins. Balancers that begin apart
+        don't all choose the same ones.
     """
 
     def __init__(
@@ -102,13 +119,16 @@
         domain: str,
         limit: FlowLimit,
         cold_admission: ColdAdmission,
+        cost: PlacementCost,
         filters: Sequence[CandidateFilter] = (),
+        first_round: int = 0,
     ) -> None:
+        self._cost = cost
         self._filters = filters
         self._cold_admission = cold_admission
         self._domain = domain
         self._limit = limit
-        self._round = 0
+        self._round = first_round
         self._splits: dict[str, _DomainSplit] = {}
 
     def choose(
@@ -121,6 +141,7 @@
             chosen = self._best(candidates, opening)
         if chosen is not None:
             self._cold_admission.note_sent(chosen, opening.now)
+            self._cost.note_placed(chosen, opening)
         return chosen
 
     def _sample(self, candidates: Sequence[Upstream]) -> Sequence[Upstream]:
@@ -173,7 +194,7 @@
             return None
         # Rotate the order so that candidates of equal cost take turns.
         start = self._round % len(available)
-        cost = self._cost(pool, [*tried, *opening.avoided])
+        cost = self._cost.for_opening(pool, opening)
         return min(available[start:] + available[:start], key=cost)
 
     def _first_unchecked(
@@ -190,35 +211,6 @@
                 return upstream
         return None
 
-    def _cost(
-        self, pool: list[Upstream], unanswered: Collection[Upstream]
-    ) -> Callable[[Upstream], float]:
-        """Return the cost function for comparing candidates."""
-        unanswered_domains = {upstream.domain for upstream in unanswered}
-        times = sorted(
-            upstream.service_time_s for upstream in pool if upstream.service_time_s
-        )
-        typical_s = times[len(times) // 2] if times else 0.0
-        domain = self._domain
-        # Expected cost of an idle flow: the share of time for which flows are busy.
-        busy = sum(upstream.busy_flows for upstream in pool)
-        idle = sum(upstream.idle_flows for upstream in pool)
-        idle_weight = busy / (busy + idle) if idle else 0.0
-
-        def cost(upstream: Upstream) -> float:
-            value = upstream.busy_flows + idle_weight * upstream.idle_flows + 1.0
-            if upstream.service_time_s > SLOW_SERVICE_TIME_FACTOR * typical_s > 0.0:
-                value *= upstream.service_time_s / typical_s
-            if upstream.domain != domain:
-                value += REMOTE_DOMAIN_COST
-            if upstream.domain in unanswered_domains:
-                value += UNANSWERED_DOMAIN_COST
-            if upstream in unanswered:
-                value += UNANSWERED_COST
-            return value
-
-        return cost
-
 
 def _rotating_slice(
     upstreams: list[Upstream], round_number: int, limit: int
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 from zlib import crc32
 
-from egrethook.discovery.records import UpstreamPhase, UpstreamRecord
+from egrethook.discovery.records import Route, UpstreamPhase, UpstreamRecord
 
 CHECK_AFTER_S = 0.3
 """Age of a retransmitted request after which an opening is due, in seconds."""
@@ -27,6 +27,30 @@
     return crc32(text) or 1
 
 
+class RequestInProgress(Protocol):
+    """An opening or a request that an upstream has not answered yet."""
+
+    @property
+    def route(self) -> Route:
+        """The route that the flow was opened on."""
+        ...
+
+    @property
+    def service(self) -> str:
+        """The service of the flow's upstream."""
+        ...
+
+    @property
+    def sent_at(self) -> float:
+        """When it was sent, in seconds."""
+        ...
+
+    @property
+    def request_bytes(self) -> int:
+        """Bytes of the request that have passed through this balancer."""
+        ...
+
+
 class Upstream:
     """One incarnation of an upstream, with the state observed from its packets.
 
@@ -41,6 +65,8 @@
     ----------
     busy_flows, idle_flows : int
         Flows through this balancer with and without a request in progress.
+    requests : dict of RequestInProgress
+        What occupies the busy flows, in order of time; the values are None.
     flow_limit : float or None
         Maximum busy flows, less than 1 for pauses between flows; None until it is
         first adjusted.
@@ -86,6 +112,7 @@
         "last_served_at",
         "last_unanswered_at",
         "name",
+        "requests",
         "service",
         "service_time_s",
         "stall_seen_at",
@@ -105,6 +132,7 @@
         self.token = flow_token(record)
         self.busy_flows = 0
         self.idle_flows = 0
+        self.requests: dict[RequestInProgress, None] = {}
         self.flow_limit: float | None = None
         self.unanswered = 0
         self.answered_at = float("-inf")
--- a/tests/dispatcher_harness.py
+++ b/tests/dispatcher_harness.py
@@ -16,7 +16,8 @@
 )
 from egrethook.platform.packet_header import ACK, SYN, PacketHeader
 from egrethook.upstreams.health import PassiveHealth
-from egrethook.upstreams.selection import LeastFlowsSelector
+from egrethook.upstreams.placement import LeastFlowsCost
+from egrethook.upstreams.selection import LowestCostSelector
 
 
 class RecordingPort:
@@ -46,7 +47,9 @@
         self.port = RecordingPort()
         self.limit = limit = FixedFlowLimit(flow_limit)
         self.health = PassiveHealth("vm")
-        self.selector = LeastFlowsSelector("zone-a", limit, NoColdLimit())
+        self.selector = LowestCostSelector(
+            "zone-a", limit, NoColdLimit(), LeastFlowsCost("zone-a")
+        )
         self.dispatcher = FlowDispatcher(
             self.view,
             PacketHeader(),
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -21,7 +21,8 @@
     upstream_record,
 )
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM, FleetColdLimit
-from egrethook.upstreams.selection import LeastFlowsSelector, Opening
+from egrethook.upstreams.placement import LeastFlowsCost
+from egrethook.upstreams.selection import LowestCostSelector, Opening
 from egrethook.upstreams.upstream import Upstream
 
 RATE_PER_S = 20.0
@@ -92,7 +93,9 @@
 
 def test_selector_skips_cold_upstream_that_it_may_not_send_to():
     strict = FleetColdLimit(lambda: {SERVICE: ColdLimit(2.0, 5.0)}, lambda one: False)
-    selector = LeastFlowsSelector("zone", FixedFlowLimit(3), strict)
+    selector = LowestCostSelector(
+        "zone", FixedFlowLimit(3), strict, LeastFlowsCost("zone")
+    )
     warm = Upstream(upstream_record("up-2", "elsewhere"), 0.0)
     assert selector.choose([cold_upstream(), warm], OPENING) is warm
     assert selector.choose([cold_upstream()], OPENING) is None
