--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -41,7 +41,7 @@
     upstream_record,
 )
 from egrethook.emulator.packets import Packet
-from egrethook.forwarding.data_path import build_data_path
+from egrethook.forwarding.data_path import CostAwarePlacement, build_data_path
 from egrethook.forwarding.features import Feature
 from egrethook.platform.packet_header import (
     ACK,
@@ -104,6 +104,7 @@
     up: bool = True
     paused: bool = False
     waiting_packets: list[bytes] = field(default_factory=list)
+    cost_aware: CostAwarePlacement | None = None
 
 
 def _default_limit() -> FlowLimit:
@@ -129,6 +130,8 @@
         Share of the packets from callers that get lost.
     features : collection of Feature
         The optional parts of the balancers that are switched on.
+    objective_s : float
+        Latency objective of the route, in seconds.
 
     Attributes
     ----------
@@ -148,6 +151,7 @@
         shares_health: bool = True,
         loss_share: float = 0.0,
         features: Collection[Feature] = (),
+        objective_s: float = 0.15,
     ) -> None:
         self.rng = random.Random(seed)
         self.caller_delay_s = caller_delay_s
@@ -156,6 +160,8 @@
         self._shares_health = shares_health
         self._loss_share = loss_share
         self._features = features
+        self._objective_s = objective_s
+        self.draw_service_time_s = lambda: self.rng.uniform(0.012, 0.035)
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
@@ -178,7 +184,7 @@
         limit = self._new_limit()
         number = next(self._vm_numbers)
         name = f"vm-{number}"
-        dispatcher, health, _, outliers = build_data_path(
+        data_path = build_data_path(
             name,
             domain,
             self._features,
@@ -188,8 +194,17 @@
             limit,
             NoColdLimit(),
         )
-        dispatcher.view_is_fresh = True
-        vm = SimulatedVm(domain, view, dispatcher, health, outliers, name)
+        data_path.dispatcher.view_is_fresh = True
+        health, outliers = data_path.health, data_path.outliers
+        vm = SimulatedVm(
+            domain,
+            view,
+            data_path.dispatcher,
+            health,
+            outliers,
+            name,
+            cost_aware=data_path.cost_aware,
+        )
         if self._shares_health:
             health.set_listener(partial(self._share_health, vm))
             if outliers is not None:
@@ -236,9 +251,8 @@
 
     def publish(self, vm: SimulatedVm, revision: int = 1) -> None:
         """Publish the configuration and all upstreams to a balancer."""
-        items = [
-            PublishedItem(ItemKind.ROUTES, "", revision, self._encode(route_table()))
-        ]
+        routes = route_table(objective_s=self._objective_s)
+        items = [PublishedItem(ItemKind.ROUTES, "", revision, self._encode(routes))]
         for upstream in self.upstreams.values():
             value = self._encode(upstream.record)
             name = upstream.record.name
@@ -311,7 +325,7 @@
         think_time_s: Callable[[], float] | None,
     ) -> Call:
         if service_time_s is None:
-            service_time_s = self.rng.uniform(0.012, 0.035)
+            service_time_s = self.draw_service_time_s()
         number = len(self.calls)
         host = CALLER_HOST + number % CALLER_COUNT
         call = Call(
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
+from zlib import crc32
 
 from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.callers.segments import PacketPort, SegmentCodec
@@ -15,26 +16,41 @@
 from egrethook.upstreams.cold_limit import ColdAdmission
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
+from egrethook.upstreams.learned_speeds import LearnedSpeeds
 from egrethook.upstreams.outlier_selection import OutlierSelector
 from egrethook.upstreams.outliers import OutlierDetector
+from egrethook.upstreams.outstanding import OutstandingWork
+from egrethook.upstreams.placement import ExpectedFinishCost, LeastFlowsCost
+from egrethook.upstreams.request_costs import RequestCosts
 from egrethook.upstreams.requests import RequestListener, StallListener
 from egrethook.upstreams.selection import (
     CandidateFilter,
-    LeastFlowsSelector,
+    CostTerm,
+    LowestCostSelector,
+    PlacementCost,
     UpstreamSelector,
 )
 
 
+class CostAwarePlacement(NamedTuple):
+    """The parts that learn what openings cost, and what compares upstreams by it."""
+
+    costs: RequestCosts
+    speeds: LearnedSpeeds
+    comparison: ExpectedFinishCost
+
+
 class DataPath(NamedTuple):
     """The parts that decide where the flows of callers go.
 
-    `outliers` is None if that part is switched off.
+    `outliers` and `cost_aware` are None if their features are off.
     """
 
     dispatcher: FlowDispatcher
     health: PassiveHealth
     selector: UpstreamSelector
-    outliers: OutlierDetector | None
+    outliers: OutlierDetector | None = None
+    cost_aware: CostAwarePlacement | None = None
 
 
 def build_data_path(
@@ -70,8 +86,17 @@
     filters: list[CandidateFilter] = []
     listeners: list[RequestListener] = []
     stall_listeners: list[StallListener] = []
-    selector: UpstreamSelector = LeastFlowsSelector(
-        domain, limit, cold_admission, filters
+    terms: list[CostTerm] = []
+    cost: PlacementCost = LeastFlowsCost(domain)
+    cost_aware = None
+    first_round = 0
+    if Feature.COST_AWARE_PLACEMENT in features:
+        cost_aware = _cost_aware_placement(domain, terms)
+        cost = cost_aware.comparison
+        listeners += [cost_aware.speeds, cost_aware.costs]
+        first_round = crc32(name.encode())
+    selector: UpstreamSelector = LowestCostSelector(
+        domain, limit, cold_admission, cost, filters, first_round
     )
     outliers = None
     if Feature.OUTLIER_EJECTION in features:
@@ -82,4 +107,14 @@
     dispatcher = FlowDispatcher(
         view, codec, port, selector, limit, health, listeners, stall_listeners
     )
-    return DataPath(dispatcher, health, selector, outliers)
+    return DataPath(dispatcher, health, selector, outliers, cost_aware)
+
+
+def _cost_aware_placement(domain: str, terms: Sequence[CostTerm]) -> CostAwarePlacement:
+    """Return the connected parts of cost-aware placement."""
+    costs = RequestCosts()
+    speeds = LearnedSpeeds(costs)
+    costs.set_time_factors(speeds)
+    outstanding = OutstandingWork(costs)
+    comparison = ExpectedFinishCost(domain, costs, speeds, outstanding, terms)
+    return CostAwarePlacement(costs, speeds, comparison)
