--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -15,6 +15,7 @@
 )
 from egrethook.callers.held_packets import HeldPackets, ReceivedPacket
 from egrethook.callers.opening_queues import OpeningQueues
+from egrethook.callers.queueing_policy import QueueingPolicy
 from egrethook.callers.segments import IPv4Endpoint, PacketPort, Segment, SegmentCodec
 from egrethook.discovery.view import ForwardingView, pick_service
 from egrethook.logs import PartLog
@@ -84,6 +85,10 @@
         Detects upstreams that do not answer openings.
     listeners : sequence of RequestListener
         Learn from the requests that are answered.
+    counts : DispatcherCounts, optional
+        Counters and histograms.
+    queueing : QueueingPolicy, optional
+        Decides how openings wait for capacity.
     """
 
     def __init__(
@@ -95,6 +100,8 @@
         limit: FlowLimit,
         health: PassiveHealth,
         listeners: Sequence[RequestListener] = (),
+        counts: DispatcherCounts | None = None,
+        queueing: QueueingPolicy | None = None,
     ) -> None:
         self._view = view
         self._listeners = listeners
@@ -104,10 +111,16 @@
         self._health = health
         self._flows: dict[bytes, ForwardedFlow] = {}
         self._resend_due_at: OrderedDict[bytes, float] = OrderedDict()
-        self._counts = DispatcherCounts()
+        self._counts = counts or DispatcherCounts()
         self._output = FlowOutput(codec, port, self._counts)
         self._queues = OpeningQueues(
-            view, codec, self._output, self._flows, self._counts, self._send_opening
+            view,
+            codec,
+            self._output,
+            self._flows,
+            self._counts,
+            self._send_opening,
+            queueing,
         )
         self._last_openings: dict[tuple[int, IPv4Endpoint], ForwardedFlow] = {}
         self._held_packets = HeldPackets()
@@ -199,10 +212,7 @@
         service = pick_service(route, segment.flow)
         flow = ForwardedFlow(segment, datagram, route, service, arrived_at)
         self._avoid_silent_upstreams(flow, now)
-        if self._send_opening(flow, now):
-            self._flows[segment.flow] = flow
-            return
-        self._queues.add(flow, now)
+        self._queues.send_or_add(flow, now)
 
     def _avoid_silent_upstreams(self, flow: ForwardedFlow, now: float) -> None:
         """Avoid the upstreams that left the caller's last opening unanswered.
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -12,6 +12,7 @@
 from egrethook.callers.segments import SEQUENCE_MODULUS, Segment, is_after
 from egrethook.discovery.records import Route
 from egrethook.histogram import LatencyHistogram
+from egrethook.label_counts import LabelCounts
 from egrethook.upstreams.requests import RequestOutcome
 from egrethook.upstreams.upstream import Upstream
 
@@ -208,3 +209,5 @@
     answer_times: LatencyHistogram = field(default_factory=LatencyHistogram)
     request_times: LatencyHistogram = field(default_factory=LatencyHistogram)
     wait_times: LatencyHistogram = field(default_factory=LatencyHistogram)
+    waited_by_route: LabelCounts = field(default_factory=LabelCounts)
+    refused_by_route: LabelCounts = field(default_factory=LabelCounts)
--- a/egrethook/callers/opening_queues.py
+++ b/egrethook/callers/opening_queues.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from egrethook.callers.flow_output import FlowOutput
 from egrethook.callers.forwarded_flow import DispatcherCounts, FlowState, ForwardedFlow
+from egrethook.callers.queueing_policy import (
+    TYPICAL_SERVICE_TIME_S,
+    PriorityQueueing,
+    QueueingPolicy,
+)
 from egrethook.callers.segments import SegmentCodec
-from egrethook.callers.waiting import WaitingOpening, WaitingQueue
+from egrethook.callers.waiting import OpeningQueue, WaitingOpening
 from egrethook.discovery.view import ForwardingView
 from egrethook.logs import PartLog
 from egrethook.upstreams.upstream import upstream_load
 
-TYPICAL_SERVICE_TIME_S = 0.05
-"""Time that an upstream usually needs to serve an opening, in seconds."""
-
 _LOG = PartLog("flows")
 
 
@@ -35,6 +38,8 @@
         Counts the openings that waited.
     send : callable
         Sends an opening; returns False if no upstream has capacity.
+    policy : QueueingPolicy, optional
+        Decides the order, and which openings can't be served in time.
     """
 
     def __init__(
@@ -45,6 +50,7 @@
         flows: dict[bytes, ForwardedFlow],
         counts: DispatcherCounts,
         send: Callable[[ForwardedFlow, float], bool],
+        policy: QueueingPolicy | None = None,
     ) -> None:
         self._view = view
         self._codec = codec
@@ -52,33 +58,38 @@
         self._flows = flows
         self._counts = counts
         self._send = send
-        self._queues: dict[str, WaitingQueue] = {}
+        self._policy = policy or PriorityQueueing()
+        self._queues: dict[str, OpeningQueue] = {}
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._queues.values())
 
-    def add(self, flow: ForwardedFlow, now: float) -> None:
+    def send_or_add(self, flow: ForwardedFlow, now: float) -> None:
+        """Send an opening at once, or queue or refuse it."""
+        queue = self._queues.get(flow.service)
+        if queue and not self._policy.lets_new_openings_pass:
+            self._add(flow, now)
+            self.serve(flow.service, now)
+        elif self._send(flow, now):
+            self._flows[flow.segment.flow] = flow
+        else:
+            self._add(flow, now)
+
+    def _add(self, flow: ForwardedFlow, now: float) -> None:
         """Queue an opening, or refuse it if the caller would time out in the queue."""
-        queue = self._queues.setdefault(flow.service, WaitingQueue())
-        load = upstream_load(
-            self._view.candidates(flow.service), TYPICAL_SERVICE_TIME_S
-        )
-        wait_s = queue.expected_wait_s(load.answers_per_s)
-        if now + wait_s + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
-            self._output.reset(
-                flow.segment,
-                "too many wait",
-                waiting=len(queue),
-                busy_flows=load.busy_flows,
-                wait_ms=round(min(wait_s, flow.route.timeout_s) * 1000),
-            )
+        queue = self._queues.get(flow.service)
+        if queue is None:
+            queue = self._queues[flow.service] = self._policy.new_queue()
+        opening = self._policy.describe(flow, queue, now)
+        wait_s = queue.expected_wait_s(self._answers_per_s(flow.service, now), opening)
+        if now + wait_s + opening.cost_s > flow.caller_timeout_at:
+            self._refuse(flow, "too many wait", queue, wait_s, now)
             return
         self._counts.waited += 1
         flow.last_active_at = now
         self._flows[flow.segment.flow] = flow
-        queue.push(
-            WaitingOpening(flow.route.priority, now, flow.due_at, flow.segment.flow)
-        )
+        queue.push(opening)
+        self._policy.note_queued(flow, queue, now)
 
     def serve_all(self, now: float) -> None:
         """Send the queued openings of all services while there is capacity."""
@@ -90,17 +101,20 @@
         queue = self._queues.get(service)
         if not queue:
             return
-        load = upstream_load(self._view.candidates(service), TYPICAL_SERVICE_TIME_S)
-        for waiting in queue.in_order(now, max(load.service_s, TYPICAL_SERVICE_TIME_S)):
-            flow = self._flows.get(waiting.flow)
-            if flow is None or flow.state is not FlowState.WAITING:
+        self._refuse_hopeless(queue, service, now)
+        service_s = self._policy.service_s(self._view.candidates(service))
+        for waiting in queue.in_order(now, service_s):
+            flow = self._waiting_flow(waiting)
+            if flow is None:
                 continue
-            if now + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
+            if now + waiting.cost_s > flow.caller_timeout_at:
                 self._drop(flow, len(queue), now)
                 continue
-            if not self._send(flow, now):
+            if self._send(flow, now):
+                self._counts.wait_times.observe(now - flow.arrived_at)
+                self._policy.note_served(flow, queue, now)
+            elif not queue.set_aside(waiting):
                 return
-            self._counts.wait_times.observe(now - flow.arrived_at)
 
     def refuse_all(self) -> None:
         """Refuse all queued openings, which have not run, because the process ends."""
@@ -109,6 +123,49 @@
                 del self._flows[flow.segment.flow]
                 self._output.reset(flow.segment, "process leaving")
 
+    def _refuse_hopeless(self, queue: OpeningQueue, service: str, now: float) -> None:
+        """Refuse what can't be served in time; drop it if its caller has given up."""
+        rate = partial(self._answers_per_s, service, now)
+        for hopeless in queue.take_hopeless(now, rate):
+            flow = self._waiting_flow(hopeless)
+            if flow is None:
+                continue
+            if now > flow.caller_timeout_at:
+                self._drop(flow, len(queue), now)
+                continue
+            del self._flows[hopeless.flow]
+            self._refuse(flow, "no room in time", queue, 0.0, now)
+
+    def _answers_per_s(self, service: str, now: float) -> float:
+        return self._policy.answers_per_s(service, self._view.candidates(service), now)
+
+    def _waiting_flow(self, opening: WaitingOpening) -> ForwardedFlow | None:
+        """Return the flow of a queued opening, or None if it has ended."""
+        flow = self._flows.get(opening.flow)
+        return flow if flow and flow.state is FlowState.WAITING else None
+
+    def _refuse(
+        self,
+        flow: ForwardedFlow,
+        reason: str,
+        queue: OpeningQueue,
+        wait_s: float,
+        now: float,
+    ) -> None:
+        """Refuse an opening, which has not been sent to any upstream."""
+        load = upstream_load(
+            self._view.candidates(flow.service), TYPICAL_SERVICE_TIME_S
+        )
+        self._output.reset(
+            flow.segment,
+            reason,
+            waiting=len(queue),
+            busy_flows=load.busy_flows,
+            wait_ms=round(min(wait_s, flow.route.timeout_s) * 1000),
+            waited_ms=round((now - flow.arrived_at) * 1000),
+        )
+        self._policy.note_refused(flow, now)
+
     def _drop(self, flow: ForwardedFlow, waiting: int, now: float) -> None:
         del self._flows[flow.segment.flow]
         self._output.drop("waited too long")
--- /dev/null
+++ b/egrethook/callers/service_rate.py
@@ -0,0 +1,87 @@
+"""The rate at which the upstreams of a service complete requests."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import exp, sqrt
+from typing import Protocol
+
+from egrethook.callers.queueing_policy import TYPICAL_SERVICE_TIME_S
+from egrethook.upstreams.requests import RequestOutcome
+from egrethook.upstreams.upstream import Upstream, upstream_load
+
+RATE_AVERAGE_S = 1.0
+"""Time constant of the moving average of the rate, in seconds."""
+
+QUIET_S = 0.5
+"""Time without a waiting opening after which a queue counts as new, in seconds."""
+
+LOAD_CACHE_S = 0.05
+"""Time for which the load of a service's upstreams is kept, in seconds."""
+
+
+class ServiceRate(Protocol):
+    """Tells how many requests of this balancer are completed per second."""
+
+    def answers_per_s(
+        self, service: str, candidates: Sequence[Upstream], now: float
+    ) -> float:
+        """Return the rate while openings wait."""
+        ...
+
+
+class _Rate:
+    """A decaying count of answers, and the rate that the busy flows allow."""
+
+    __slots__ = ("answers_per_s", "answered_at", "asked_at", "busy_rate", "queued_at")
+
+    def __init__(self, now: float) -> None:
+        self.answers_per_s = 0.0
+        self.answered_at = now
+        self.asked_at = self.queued_at = float("-inf")
+        self.busy_rate = 0.0
+
+
+class SmoothedServiceRate:
+    """Averages the answers of about a second, as a `RequestListener`.
+
+    Before openings wait, the rate of answers shows the load and not the room. So in
+    the first second of a queue, the busy flows count too, by Little's law. The
+    standard error is added, because a false refusal costs its caller more than a wait.
+    """
+
+    def __init__(self) -> None:
+        self._rates: dict[str, _Rate] = {}
+
+    def request_answered(self, outcome: RequestOutcome, now: float) -> None:
+        """Count an answer."""
+        service = outcome.upstream.service
+        rate = self._rates.get(service)
+        if rate is None:
+            rate = self._rates[service] = _Rate(now)
+        rate.answers_per_s = _decayed(rate, now) + 1.0 / RATE_AVERAGE_S
+        rate.answered_at = now
+
+    def answers_per_s(
+        self, service: str, candidates: Sequence[Upstream], now: float
+    ) -> float:
+        """Return the upper estimate of the rate while openings wait."""
+        rate = self._rates.get(service)
+        if rate is None:
+            rate = self._rates[service] = _Rate(now)
+        if now - rate.asked_at > QUIET_S:
+            rate.queued_at = now
+        measured = _decayed(rate, now)
+        estimate = measured + sqrt(measured / (2.0 * RATE_AVERAGE_S))
+        if now - rate.queued_at < RATE_AVERAGE_S:
+            if now - rate.asked_at > LOAD_CACHE_S:
+                load = upstream_load(candidates, TYPICAL_SERVICE_TIME_S)
+                rate.busy_rate = load.answers_per_s
+                rate.asked_at = now
+            return max(estimate, rate.busy_rate)
+        rate.asked_at = now
+        return estimate
+
+
+def _decayed(rate: _Rate, now: float) -> float:
+    return rate.answers_per_s * exp((rate.answered_at - now) / RATE_AVERAGE_S)
--- a/egrethook/callers/waiting.py
+++ b/egrethook/callers/waiting.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from heapq import heappop, heappush
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 MIN_QUEUE_CAPACITY = 16
 """Queue length below which openings are accepted whatever the upstreams' rate."""
@@ -23,12 +23,74 @@
         When it must be answered to meet its latency objective, in seconds.
     flow : bytes
         The flow's key.
+    route : str
+        The name of its route.
+    caller : int
+        The caller's IPv4 address.
+    cost_s : float
+        Expected time from sending it to its answer, in seconds.
+    caller_timeout_at : float
+        When the caller abandons it, in seconds.
+    yields : bool
+        Whether it is served after all that can be on time, even if it can be too.
     """
 
     priority: int
     arrived_at: float
     due: float
     flow: bytes
+    route: str = ""
+    caller: int = 0
+    cost_s: float = 0.0
+    caller_timeout_at: float = float("inf")
+    yields: bool = False
+
+
+class OpeningQueue(Protocol):
+    """The order in which the openings of one service are served."""
+
+    def __len__(self) -> int:
+        """Return the number of queued openings."""
+        ...
+
+    def expected_wait_s(
+        self, answers_per_s: float, opening: WaitingOpening | None = None
+    ) -> float:
+        """Return the expected wait of one more opening, in seconds."""
+        ...
+
+    def push(self, opening: WaitingOpening) -> None:
+        """Add an opening to the queue."""
+        ...
+
+    def in_order(self, now: float, service_s: float) -> Iterator[WaitingOpening]:
+        """Yield openings in the order in which they are to be served.
+
+        An opening is removed when the next one is requested, unless it is set aside.
+        """
+        ...
+
+    def set_aside(self, opening: WaitingOpening) -> bool:
+        """Keep the opening that `in_order` has yielded, because it found no room.
+
+        Returns
+        -------
+        bool
+            Whether another opening may find room all the same.
+        """
+        ...
+
+    def take_hopeless(
+        self, now: float, answers_per_s: Callable[[], float]
+    ) -> Iterable[WaitingOpening]:
+        """Remove and return openings that can't be served before the timeout.
+
+        Parameters
+        ----------
+        answers_per_s : callable
+            Returns the rate at which the upstreams complete requests.
+        """
+        ...
 
 
 class WaitingQueue:
@@ -47,13 +109,17 @@
     def __len__(self) -> int:
         return len(self._on_time) + len(self._late)
 
-    def expected_wait_s(self, answers_per_s: float) -> float:
+    def expected_wait_s(
+        self, answers_per_s: float, opening: WaitingOpening | None = None
+    ) -> float:
         """Return the expected wait of one more opening, in seconds.
 
         Parameters
         ----------
         answers_per_s : float
             The rate at which the upstreams complete requests.
+        opening : WaitingOpening, optional
+            Ignored: the whole queue is taken to be served first.
         """
         if len(self) < MIN_QUEUE_CAPACITY:
             return 0.0
@@ -80,6 +146,16 @@
             yield queue[0]
             heappop(queue)
 
+    def set_aside(self, opening: WaitingOpening) -> bool:
+        """Return False: where the first opening finds no room, no other does."""
+        return False
+
+    def take_hopeless(
+        self, now: float, answers_per_s: Callable[[], float]
+    ) -> Iterable[WaitingOpening]:
+        """Return nothing: an opening is dropped when it is its turn."""
+        return ()
+
     def _demote_late(self, answered_at: float) -> None:
         while self._on_time and self._on_time[0].due < answered_at:
             heappush(self._late, heappop(self._on_time))
--- a/egrethook/emulator/flow_peers.py
+++ b/egrethook/emulator/flow_peers.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from egrethook.callers.segments import IPv4Endpoint
 from egrethook.discovery.records import UpstreamRecord
+from egrethook.emulator.flow_records import TARGET
 
 
 @dataclass
@@ -67,6 +69,8 @@
         the caller closes the flow after the answer.
     domain : str, optional
         If given, each attempt uses a random balancer of this failure domain.
+    target : tuple of int
+        Address and port of the route.
     sent, received : int
         Bytes sent and received on the flow.
     port : int
@@ -87,6 +91,7 @@
     service_time_s: float
     think_time_s: Callable[[], float] | None = None
     domain: str | None = None
+    target: IPv4Endpoint = TARGET
     sent: int = 0
     received: int = 0
     attempt: int = 0
--- a/egrethook/emulator/flow_records.py
+++ b/egrethook/emulator/flow_records.py
@@ -4,6 +4,8 @@
 
 from zlib import crc32
 
+from msgspec.structs import replace
+
 from egrethook.callers.segments import IPv4Endpoint
 from egrethook.discovery.records import (
     Route,
@@ -113,6 +115,17 @@
     return UpstreamRecord(**{**values, **changes})  # type: ignore[arg-type]
 
 
+def add_route(table: RouteTable, name: str, **changes: object) -> RouteTable:
+    """Return a table with one more route, a copy of the first one with `changes`.
+
+    Its port is that of the last route plus one.
+    """
+    host, port = table.routes[-1].address
+    values: dict[str, object] = {"name": name, "address": (host, port + 1)}
+    route = replace(table.routes[0], **{**values, **changes})
+    return RouteTable(table.version, (*table.routes, route), table.cold_limits)
+
+
 def route_table(
     version: int = 1, objective_s: float = 0.15, idempotent: bool = True
 ) -> RouteTable:
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -27,7 +27,9 @@
 from egrethook.emulator.flow_peers import Call, SimulatedUpstream, UpstreamRequest
 from egrethook.emulator.flow_records import (
     CALLER_HOST,
+    SERVICE,
     SLOTS,
+    TARGET,
     InMemoryDecoder,
     NoColdLimit,
     caller_packet,
@@ -122,6 +124,8 @@
 
     Attributes
     ----------
+    table : RouteTable
+        The routes that `publish` publishes.
     resets : int
         Resets that callers got on flows of theirs.
     upstreams_of_reset_flows : list of str
@@ -151,6 +155,7 @@
         self._event_numbers = itertools.count()
         self._ports = itertools.count(1024)
         self.decoder = InMemoryDecoder()
+        self.table = route_table()
         self.upstreams: dict[str, SimulatedUpstream] = {}
         self.calls: list[Call] = []
         self.resets = 0
@@ -175,6 +180,7 @@
             _SimulatedPacketPort(self, domain),
             limit,
             NoColdLimit(),
+            lambda: sum(vm.up for vm in self.vms),
         )
         dispatcher.view_is_fresh = True
         vm = SimulatedVm(domain, view, dispatcher, health)
@@ -198,18 +204,16 @@
         self.after(INTRA_DOMAIN_DELAY_S, arrive)
 
     def add_upstream(
-        self, name: str, domain: str, slots: int = SLOTS
+        self, name: str, domain: str, slots: int = SLOTS, service: str = SERVICE
     ) -> SimulatedUpstream:
         """Add an upstream without publishing it to the balancers."""
-        record = upstream_record(name, domain, slots=slots)
+        record = upstream_record(name, domain, slots=slots, service=service)
         self.upstreams[name] = SimulatedUpstream(record)
         return self.upstreams[name]
 
     def publish(self, vm: SimulatedVm, revision: int = 1) -> None:
         """Publish the configuration and all upstreams to a balancer."""
-        items = [
-            PublishedItem(ItemKind.ROUTES, "", revision, self._encode(route_table()))
-        ]
+        items = [PublishedItem(ItemKind.ROUTES, "", revision, self._encode(self.table))]
         for upstream in self.upstreams.values():
             value = self._encode(upstream.record)
             name = upstream.record.name
@@ -265,9 +269,13 @@
         deadline_s: float = 2.0,
         service_time_s: float | None = None,
         think_time_s: Callable[[], float] | None = None,
+        target: IPv4Endpoint = TARGET,
+        host: int | None = None,
     ) -> Call:
         """Start a request through one balancer."""
         call = self._new_call(vm, deadline_s, service_time_s, think_time_s)
+        call.target = target
+        call.host = host or call.host
         self._start_attempt(call)
         return call
 
@@ -322,7 +330,9 @@
 
     def _send_opening(self, call: Call, port: int, copy: int) -> None:
         if call.port == port and not call.token and not call.finished:
-            opening = caller_packet(port, SYN, src=call.host, acknowledged=copy)
+            opening = caller_packet(
+                port, SYN, call.target, src=call.host, acknowledged=copy
+            )
             self._send_to_vm(call, opening)
 
     def _on_opening_timeout(self, call: Call, port: int) -> None:
@@ -361,6 +371,7 @@
         packet = caller_packet(
             call.port,
             flags,
+            call.target,
             src=call.host,
             sequence=call.sent,
             acknowledged=call.received,
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -5,11 +5,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
+from egrethook.callers.fair_queueing import ExpectedCost, FairQueueing, TypicalCost
 from egrethook.callers.flow_dispatch import FlowDispatcher
+from egrethook.callers.forwarded_flow import DispatcherCounts
+from egrethook.callers.queueing_policy import QueueingPolicy
 from egrethook.callers.segments import PacketPort, SegmentCodec
+from egrethook.callers.service_rate import SmoothedServiceRate
 from egrethook.discovery.view import ForwardingView
 from egrethook.forwarding.features import Feature
 from egrethook.upstreams.cold_limit import ColdAdmission
@@ -21,6 +25,7 @@
     LeastFlowsSelector,
     UpstreamSelector,
 )
+from egrethook.upstreams.slow_start import SlowStartSelector
 
 
 class DataPath(NamedTuple):
@@ -40,6 +45,7 @@
     port: PacketPort,
     limit: FlowLimit,
     cold_admission: ColdAdmission,
+    live_balancers: Callable[[], int] = lambda: 1,
 ) -> DataPath:
     """Return the connected parts of one balancer.
 
@@ -59,10 +65,41 @@
         Limits the busy flows of each upstream.
     cold_admission : ColdAdmission
         Limits the openings of cold upstreams.
+    live_balancers : callable, optional
+        Returns the number of balancers that are known to be alive, this one included.
     """
     health = PassiveHealth(name)
     filters: list[CandidateFilter] = []
     listeners: list[RequestListener] = []
-    selector = LeastFlowsSelector(domain, limit, cold_admission, filters)
-    dispatcher = FlowDispatcher(view, codec, port, selector, limit, health, listeners)
+    selector: UpstreamSelector = LeastFlowsSelector(
+        domain, limit, cold_admission, filters
+    )
+    counts = DispatcherCounts()
+    queueing: QueueingPolicy | None = None
+    if Feature.FAIR_QUEUEING in features:
+        queueing = _fair_queueing(TypicalCost(), counts, listeners)
+        selector = _with_slow_start(selector, live_balancers, listeners)
+    dispatcher = FlowDispatcher(
+        view, codec, port, selector, limit, health, listeners, counts, queueing
+    )
     return DataPath(dispatcher, health, selector)
+
+
+def _fair_queueing(
+    costs: ExpectedCost, counts: DispatcherCounts, listeners: list[RequestListener]
+) -> QueueingPolicy:
+    """Return the policy for fair queueing; it learns the rate as a listener."""
+    rate = SmoothedServiceRate()
+    listeners.append(rate)
+    return FairQueueing(rate, costs, counts)
+
+
+def _with_slow_start(
+    selector: UpstreamSelector,
+    live_balancers: Callable[[], int],
+    listeners: list[RequestListener],
+) -> UpstreamSelector:
+    """Return a selector with slow start; it learns from prompt answers."""
+    slow_start = SlowStartSelector(selector, live_balancers)
+    listeners.append(slow_start)
+    return slow_start
