--- a/egrethook/callers/fair_order.py
+++ b/egrethook/callers/fair_order.py
@@ -156,14 +156,23 @@
     def head(self) -> QueuedOpening | None:
         """Return the opening to serve first, or None."""
         while self._heap:
-            member = self._heap[0][-1]
+            turn, *_, member = self._heap[0]
             queued = member.backlog.head()
-            if queued is not None:
+            if queued is not None and turn >= self._turn(member):
                 return queued
             heappop(self._heap)
             member.is_queued = False
+            if queued is not None:
+                self._enqueue(member, queued.opening)
         return None
 
+    def charge(self, opening: WaitingOpening) -> None:
+        """Charge the member of an opening that was served out of another order."""
+        member = self._members.get(self._key(opening))
+        if member is not None:
+            member.start_s = max(member.start_s, self._virtual_s)
+            member.start_s += opening.cost_s / member.weight
+
     def charge_head(self) -> None:
         """Remove the opening that `head` returned, and charge its member."""
         member = heappop(self._heap)[-1]
@@ -180,12 +189,9 @@
     def _enqueue(self, member: _Member, opening: WaitingOpening) -> None:
         member.is_queued = True
         member.start_s = max(member.start_s, self._virtual_s)
-        turn = member.start_s
-        if self._round_s:
-            turn //= self._round_s
         order = self._order
         item = (
-            turn,
+            self._turn(member),
             opening.priority,
             order.urgency(opening),
             next(order.numbers),
@@ -193,6 +199,9 @@
         )
         heappush(self._heap, item)
 
+    def _turn(self, member: _Member) -> float:
+        return member.start_s // self._round_s if self._round_s else member.start_s
+
     def _forget_idle(self) -> None:
         """Forget members that have no openings and are not ahead of the others."""
         if len(self._members) <= 2 * len(self._heap) + MAX_IDLE_MEMBERS:
@@ -270,6 +279,10 @@
         self._routes.charge_head()
         self.discard(queued)
 
+    def charge(self, opening: WaitingOpening) -> None:
+        """Charge a route for an opening that was served out of another order."""
+        self._routes.charge(opening)
+
     def discard(self, queued: QueuedOpening) -> None:
         """Remove an opening that is not served here."""
         opening = queued.opening
--- a/egrethook/callers/fair_queue.py
+++ b/egrethook/callers/fair_queue.py
@@ -6,22 +6,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
-from heapq import heapify, heappop, heappush
+from collections.abc import Iterator
+from heapq import heappop, heappush
 from itertools import count
 
 from egrethook.callers.fair_order import FairOrder, QueuedOpening
 from egrethook.callers.waiting import MIN_QUEUE_CAPACITY, WaitingOpening
 
-LATE_SHARE = 0.1
+LATE_SHARE = 0.05
 """Share of the served cost that goes to late openings while others wait."""
 
 MAX_LATE_CREDIT_S = 0.5
 """Upper bound of the cost that late openings may claim at once, in seconds."""
 
-RECHECK_INTERVAL_S = 0.1
-"""Time between two checks for openings that have become hopeless, in seconds."""
-
 
 def _start_by(opening: WaitingOpening) -> float:
     """Return when an opening must be sent to be on time, in seconds."""
@@ -49,7 +46,6 @@
         self._late_credit_s = 0.0
         self._late_found_no_room = False
         self._was_set_aside = False
-        self._checked_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._on_time) + len(self._late)
@@ -104,7 +100,7 @@
         self._demote_late(now)
         while (queued := self._head()) is not None:
             self._was_set_aside = False
-            yield queued.opening
+            yield self._marked(queued)
             if not self._was_set_aside:
                 self._serve(queued)
 
@@ -117,9 +113,7 @@
         self._late_found_no_room = True
         return True
 
-    def take_hopeless(
-        self, now: float, answers_per_s: Callable[[], float]
-    ) -> Iterator[WaitingOpening]:
+    def take_hopeless(self, now: float) -> Iterator[WaitingOpening]:
         """Remove and yield openings that can't be served before the timeout."""
         heap = self._by_give_up
         while heap and (heap[0][0] < now or heap[0][-1].order is None):
@@ -127,40 +121,6 @@
             if queued.order is not None:
                 queued.order.discard(queued)
                 yield queued.opening
-        if len(self) < MIN_QUEUE_CAPACITY:
-            return
-        if now - self._checked_at >= RECHECK_INTERVAL_S:
-            self._checked_at = now
-            # Without any answer, as at a start, nothing is known of the wait.
-            if rate := answers_per_s():
-                yield from self._take_too_many(now, rate)
-
-    def _take_too_many(
-        self, now: float, answers_per_s: float
-    ) -> Iterator[WaitingOpening]:
-        """Remove and yield late openings behind more than can be served in time."""
-        on_time = len(self._on_time)
-        before = 0
-        kept = []
-        for item in sorted(self._by_give_up, key=lambda item: item[:2]):
-            give_up_at, _, queued = item
-            if queued.order is None:
-                continue
-            kept.append(item)
-            if queued.order is not self._late:
-                continue
-            wait_s = min(
-                _seconds(on_time + before, answers_per_s),
-                _seconds(before, answers_per_s * LATE_SHARE),
-            )
-            if now + wait_s <= give_up_at:
-                before += 1
-                continue
-            kept.pop()
-            self._late.discard(queued)
-            yield queued.opening
-        heapify(kept)
-        self._by_give_up = kept
 
     def _demote_late(self, now: float) -> None:
         heap = self._by_start
@@ -175,10 +135,19 @@
         late = None if self._late_found_no_room else self._late.head()
         if on_time is None:
             return late
-        if late is not None and self._late_credit_s >= late.opening.cost_s:
+        if late is not None and self._is_guaranteed(late):
             return late
         return on_time
 
+    def _is_guaranteed(self, late: QueuedOpening) -> bool:
+        return self._late_credit_s >= late.opening.cost_s
+
+    def _marked(self, queued: QueuedOpening) -> WaitingOpening:
+        """Return an opening, marked if it is late and due its guaranteed share."""
+        if queued.order is self._late and self._is_guaranteed(queued):
+            return queued.opening._replace(is_guaranteed=True)
+        return queued.opening
+
     def _serve(self, queued: QueuedOpening) -> None:
         """Remove the head of one of the orders, and update the late credit."""
         cost_s = queued.opening.cost_s
@@ -191,6 +160,7 @@
                 )
         elif queued.order is self._late:
             self._late.serve_head()
+            self._on_time.charge(queued.opening)
             self._late_credit_s = max(0.0, self._late_credit_s - cost_s)
 
 
--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -272,7 +272,7 @@
         """Send an opening to an untried upstream; return False if none has capacity."""
         candidates = self._view.candidates(flow.service)
         opening = Opening(
-            flow.route, flow.tried, flow.avoided, flow.can_be_on_time(now), now
+            flow.route, flow.tried, flow.avoided, flow.may_use_all_room(now), now
         )
         upstream = self._selector.choose(candidates, opening)
         if upstream is None:
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -44,7 +44,8 @@
     upstream once it is open; `avoided` holds those that left an earlier opening of the
     same caller unanswered. `sent_at` is when the opening, or the latest request of an
     open flow, was sent. `segment` is the opening, and the caller's latest packet once
-    the flow is open.
+    the flow is open. `has_guaranteed_room` gives a late opening the room of one that
+    is on time.
 
     A flow is busy while it opens, and from each request until the caller has
     acknowledged part of the answer. Otherwise it is idle: the caller keeps it open,
@@ -61,6 +62,7 @@
     last_active_at: float = 0.0
     tried: list[Upstream] = []
     avoided: list[Upstream] = []
+    has_guaranteed_room: bool = False
     _upstream: Upstream | None = None
     _busy: bool = False
     _request_end: int = 0
@@ -105,6 +107,10 @@
         service_s = min(MIN_SERVICE_TIME_S, self.route.objective_s / 2)
         return now + service_s <= self.due_at
 
+    def may_use_all_room(self, now: float) -> bool:
+        """Return whether the limits for late openings do not apply."""
+        return self.has_guaranteed_room or self.can_be_on_time(now)
+
     def occupy(self, upstream: Upstream) -> None:
         """Occupy capacity at one upstream, and release any other."""
         self.release()
--- a/egrethook/callers/opening_queues.py
+++ b/egrethook/callers/opening_queues.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import partial
 
 from egrethook.callers.flow_output import FlowOutput
 from egrethook.callers.forwarded_flow import DispatcherCounts, FlowState, ForwardedFlow
@@ -101,7 +100,7 @@
         queue = self._queues.get(service)
         if not queue:
             return
-        self._refuse_hopeless(queue, service, now)
+        self._refuse_hopeless(queue, now)
         service_s = self._policy.service_s(self._view.candidates(service))
         for waiting in queue.in_order(now, service_s):
             flow = self._waiting_flow(waiting)
@@ -110,6 +109,7 @@
             if now + waiting.cost_s > flow.caller_timeout_at:
                 self._drop(flow, len(queue), now)
                 continue
+            flow.has_guaranteed_room = waiting.is_guaranteed
             if self._send(flow, now):
                 self._counts.wait_times.observe(now - flow.arrived_at)
                 self._policy.note_served(flow, queue, now)
@@ -123,10 +123,9 @@
                 del self._flows[flow.segment.flow]
                 self._output.reset(flow.segment, "process leaving")
 
-    def _refuse_hopeless(self, queue: OpeningQueue, service: str, now: float) -> None:
+    def _refuse_hopeless(self, queue: OpeningQueue, now: float) -> None:
         """Refuse what can't be served in time; drop it if its caller has given up."""
-        rate = partial(self._answers_per_s, service, now)
-        for hopeless in queue.take_hopeless(now, rate):
+        for hopeless in queue.take_hopeless(now):
             flow = self._waiting_flow(hopeless)
             if flow is None:
                 continue
--- a/egrethook/callers/waiting.py
+++ b/egrethook/callers/waiting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from heapq import heappop, heappush
 from typing import NamedTuple, Protocol
 
@@ -33,6 +33,8 @@
         When the caller abandons it, in seconds.
     yields : bool
         Whether it is served after all that can be on time, even if it can be too.
+    is_guaranteed : bool
+        Whether it is due its guaranteed share of the room, although it is late.
     """
 
     priority: int
@@ -44,6 +46,7 @@
     cost_s: float = 0.0
     caller_timeout_at: float = float("inf")
     yields: bool = False
+    is_guaranteed: bool = False
 
 
 class OpeningQueue(Protocol):
@@ -80,16 +83,8 @@
         """
         ...
 
-    def take_hopeless(
-        self, now: float, answers_per_s: Callable[[], float]
-    ) -> Iterable[WaitingOpening]:
-        """Remove and return openings that can't be served before the timeout.
-
-        Parameters
-        ----------
-        answers_per_s : callable
-            Returns the rate at which the upstreams complete requests.
-        """
+    def take_hopeless(self, now: float) -> Iterable[WaitingOpening]:
+        """Remove and return openings that can't be served before the timeout."""
         ...
 
 
@@ -150,9 +145,7 @@
         """Return False: where the first opening finds no room, no other does."""
         return False
 
-    def take_hopeless(
-        self, now: float, answers_per_s: Callable[[], float]
-    ) -> Iterable[WaitingOpening]:
+    def take_hopeless(self, now: float) -> Iterable[WaitingOpening]:
         """Return nothing: an opening is dropped when it is its turn."""
         return ()
 
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -45,7 +45,7 @@
     port: PacketPort,
     limit: FlowLimit,
     cold_admission: ColdAdmission,
-    live_balancers: Callable[[], int] = lambda: 1,
+    live_balancers: Callable[[], int] = lambda: 0,
 ) -> DataPath:
     """Return the connected parts of one balancer.
 
@@ -66,7 +66,7 @@
     cold_admission : ColdAdmission
         Limits the openings of cold upstreams.
     live_balancers : callable, optional
-        Returns the number of balancers that are known to be alive, this one included.
+        Returns the number of live balancers, this one included; 0 if unknown.
     """
     health = PassiveHealth(name)
     filters: list[CandidateFilter] = []
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -104,6 +104,7 @@
         self._replica = Replica(self._on_changes)
         self._is_cold_sender: Callable[[str], bool] = _deny_cold_upstreams
         self._flow_limit = AimdFlowLimit(settings.flow_limit)
+        self._live_balancers: Callable[[], int] = lambda: 0
         data_path = build_data_path(
             settings.name,
             settings.failure_domain,
@@ -115,6 +116,7 @@
             FleetColdLimit(
                 self._cold_limits, lambda upstream: self._is_cold_sender(upstream.name)
             ),
+            lambda: self._live_balancers(),
         )
         self._health = data_path.health
         self._dispatcher = data_path.dispatcher
@@ -229,6 +231,10 @@
         """Set what returns the failure domains whose balancers are heard."""
         self._heard_domains = heard_domains
 
+    def set_live_balancers(self, live_balancers: Callable[[], int]) -> None:
+        """Set what returns the number of live balancers, 0 if it is unknown."""
+        self._live_balancers = live_balancers
+
     def set_health_listener(self, listener: HealthListener) -> None:
         """Set the listener for this process's health observations of upstreams."""
         self._health.set_listener(listener)
--- a/egrethook/forwarding/metrics.py
+++ b/egrethook/forwarding/metrics.py
@@ -64,6 +64,11 @@
             "resets", "Openings refused and open flows reset, by reason.", counts.reset
         )
         yield _by_reason("dropped", "Packets dropped by reason.", counts.dropped)
+        for name, text, labels in (
+            ("waited_by_route", "Openings that waited.", counts.waited_by_route),
+            ("refused_by_route", "Openings refused.", counts.refused_by_route),
+        ):
+            yield _by_label(name, text, "route", labels.by_label())
         yield GaugeMetricFamily(
             "egrethook_flows",
             "Flows that are opening or open.",
@@ -103,9 +108,13 @@
 
 
 def _by_reason(name: str, text: str, counts: dict[str, int]) -> Metric:
-    family = CounterMetricFamily(f"egrethook_{name}", text, labels=["reason"])
-    for reason, count in counts.items():
-        family.add_metric([reason], count)
+    return _by_label(name, text, "reason", counts)
+
+
+def _by_label(name: str, text: str, label: str, counts: dict[str, int]) -> Metric:
+    family = CounterMetricFamily(f"egrethook_{name}", text, labels=[label])
+    for value, count in counts.items():
+        family.add_metric([value], count)
     return family
 
 
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -104,6 +104,7 @@
         )
         forwarder.set_cold_sender_check(self._is_cold_sender)
         forwarder.set_heard_domains(self._heard_domains)
+        forwarder.set_live_balancers(self._live_balancers)
         self._follower = RegistryFollower(
             source, forwarder.replica, self._should_read_registry, self._clock, rng
         )
@@ -178,6 +179,11 @@
             members.live_domains(self._clock.now()), members.known_domains()
         )
 
+    def _live_balancers(self) -> int:
+        """Return the number of live balancers, or 0 before any other is heard."""
+        others = len(self._members.live(self._clock.now()))
+        return others + 1 if others else 0
+
     def _is_cold_sender(self, upstream: str) -> bool:
         return self._members.is_among_first(
             upstream, SENDERS_PER_UPSTREAM, self._clock.now()
--- a/egrethook/upstreams/slow_start.py
+++ b/egrethook/upstreams/slow_start.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable, Sequence
 
+from egrethook.logs import PartLog
 from egrethook.upstreams.flow_limit import ALWAYS_PROMPT_S, PROMPT_OBJECTIVE_SHARE
 from egrethook.upstreams.requests import RequestOutcome
 from egrethook.upstreams.selection import Opening, UpstreamSelector
@@ -18,36 +19,49 @@
 SLOW_START_S = 2.0
 """Time after the first opening of a service for which its window holds, in seconds."""
 
-MIN_WINDOW = 2.0
-"""Lower bound of the window, in busy flows of a service."""
+INITIAL_WINDOW = 2.0
+"""Window of a balancer that has not heard of others yet, in busy flows of a service."""
 
-FLOWS_PER_SLOT = 1.0
-"""Window with which slow start ends, in busy flows per slot of the service."""
+FLEET_HEARD_AFTER_S = 0.5
+"""Time after which most of the live balancers have been heard, in seconds."""
+
+PROMPT_INCREASE = 0.5
+"""Added to the window while a whole window is answered promptly, in busy flows."""
+
+SLOW_INCREASE = 0.05
+"""Added for other answers, in busy flows: upstreams may be slow at any load."""
+
+LATE_WINDOW_SHARE = 0.5
+"""Fraction of the window that openings may use which are late already."""
+
+_LOG = PartLog("queueing")
 
 
 class _Window:
     """The busy flows that one service may have."""
 
-    __slots__ = ("flows", "slots", "until")
+    __slots__ = ("flows", "has_ended", "has_share", "started_at")
 
-    def __init__(self, slots: int, live_balancers: int, now: float) -> None:
-        self.slots = slots
-        self.flows = max(MIN_WINDOW, slots / max(1, live_balancers))
-        self.until = now + SLOW_START_S
+    def __init__(self, now: float) -> None:
+        self.flows = INITIAL_WINDOW
+        self.started_at = now
+        self.has_share = False
+        self.has_ended = False
 
 
 class SlowStartSelector:
     """Holds openings back while a new balancer has its window of busy flows.
 
-    The window starts with the balancer's share of the slots, grows by one flow with
-    each prompt answer, and never shrinks. It ends after `SLOW_START_S`.
+    The window starts with two flows and grows with each answer. Once the fleet is
+    known, it is at least the balancer's share of the slots. It never shrinks, and ends
+    when it has reached the slots of the service, or after `SLOW_START_S`.
 
     Parameters
     ----------
     selector : UpstreamSelector
         Chooses the upstream of an opening within the window.
     live_balancers : callable
-        Returns the number of balancers that are known to be alive, this one included.
+        Returns the number of live balancers, this one included; 0 if unknown.
     """
 
     def __init__(
@@ -61,28 +75,52 @@
         self, candidates: Sequence[Upstream], opening: Opening
     ) -> Upstream | None:
         """Return the best candidate, or None if none has room or the window is full."""
-        if candidates and not opening.tried and self._is_full(candidates, opening.now):
+        if candidates and not opening.tried and self._is_full(candidates, opening):
             return None
         return self._selector.choose(candidates, opening)
 
     def request_answered(self, outcome: RequestOutcome, now: float) -> None:
-        """Open the window further after a prompt answer."""
+        """Open the window further, faster if the answer was prompt."""
         window = self._windows.get(outcome.upstream.service)
-        if window is None or now > window.until:
+        if window is None or window.has_ended:
             return
         prompt_s = max(
             ALWAYS_PROMPT_S, PROMPT_OBJECTIVE_SHARE * outcome.route.objective_s
         )
-        if outcome.service_s <= prompt_s:
-            window.flows += 1.0
+        is_prompt = outcome.service_s <= prompt_s
+        increase = PROMPT_INCREASE if is_prompt else SLOW_INCREASE
+        window.flows += increase / window.flows
 
-    def _is_full(self, candidates: Sequence[Upstream], now: float) -> bool:
+    def _is_full(self, candidates: Sequence[Upstream], opening: Opening) -> bool:
         service = candidates[0].service
         window = self._windows.get(service)
         if window is None:
-            slots = sum(upstream.record.slots for upstream in candidates)
-            window = _Window(slots, self._live_balancers(), now)
-            self._windows[service] = window
-        if now > window.until or window.flows >= FLOWS_PER_SLOT * window.slots:
+            window = self._windows[service] = _Window(opening.now)
+            _LOG.info("slow start begins.", service=service, window=window.flows)
+        if window.has_ended:
+            return False
+        age_s = opening.now - window.started_at
+        slots = sum(upstream.record.slots for upstream in candidates)
+        if age_s > FLEET_HEARD_AFTER_S and not window.has_share:
+            self._grant_share(window, slots)
+        if age_s > SLOW_START_S or window.flows >= slots:
+            self._end(window, service, opening.now)
             return False
-        return sum(one.busy_flows for one in candidates) >= window.flows
+        limit = window.flows if opening.on_time else window.flows * LATE_WINDOW_SHARE
+        return sum(upstream.busy_flows for upstream in candidates) >= limit
+
+    def _grant_share(self, window: _Window, slots: int) -> None:
+        """Open the window to this balancer's share of the slots, if that is known."""
+        balancers = self._live_balancers()
+        if balancers:
+            window.flows = max(window.flows, slots / balancers)
+            window.has_share = True
+
+    def _end(self, window: _Window, service: str, now: float) -> None:
+        window.has_ended = True
+        _LOG.info(
+            "slow start ends.",
+            service=service,
+            window=round(window.flows, 1),
+            after_ms=round((now - window.started_at) * 1000),
+        )
--- a/tests/dispatcher_harness.py
+++ b/tests/dispatcher_harness.py
@@ -40,7 +40,7 @@
 class DispatcherHarness:
     """A dispatcher with upstreams `a`, in its own failure domain, and `b`."""
 
-    def __init__(self, names=("a", "b"), flow_limit=3):
+    def __init__(self, names=("a", "b"), flow_limit=3, **options):
         self.decoder = InMemoryDecoder()
         self.view = ForwardingView(self.decoder, flow_life_s=60.0)
         self.port = RecordingPort()
@@ -54,6 +54,7 @@
             self.selector,
             limit,
             self.health,
+            **options,
         )
         self.revision = 0
         self.put(ItemKind.ROUTES, "", route_table())
--- /dev/null
+++ b/tests/test_fair_queue.py
@@ -0,0 +1,447 @@
+"""Order, shares, refusals and retry budget of fair queueing, without a network.
+
+The tests guard against a route or caller that takes the room of others, openings that
+starve, and openings that are lost or answered for twice.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+
+import pytest
+from dispatcher_harness import DispatcherHarness, packet, reset_callers
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egrethook.callers.fair_queue import LATE_SHARE, FairQueue
+from egrethook.callers.fair_queueing import (
+    MIN_RETRIES,
+    RETRY_WINDOW_S,
+    FairQueueing,
+    RefusedCallers,
+    TypicalCost,
+)
+from egrethook.callers.forwarded_flow import DispatcherCounts, ForwardedFlow
+from egrethook.callers.service_rate import SmoothedServiceRate
+from egrethook.callers.waiting import MIN_QUEUE_CAPACITY, WaitingOpening
+from egrethook.emulator.flow_records import SERVICE, route_table, upstream_record
+from egrethook.label_counts import MAX_LABELS, OTHER_LABEL, LabelCounts
+from egrethook.platform.packet_header import INSTANCE_PREFIX, SYN, PacketHeader
+from egrethook.upstreams.requests import RequestOutcome
+from egrethook.upstreams.selection import Opening
+from egrethook.upstreams.slow_start import (
+    FLEET_HEARD_AFTER_S,
+    INITIAL_WINDOW,
+    SLOW_START_S,
+    SlowStartSelector,
+)
+from egrethook.upstreams.upstream import Upstream
+
+COST_S = 0.05
+_flow_numbers = itertools.count()
+
+
+def opening(route="a", caller=1, priority=1, arrived_at=0.0, due=10.0, **fields):
+    values = {"cost_s": COST_S, "caller_timeout_at": due + 1.0} | fields
+    flow = str(next(_flow_numbers)).encode()
+    return WaitingOpening(
+        priority, arrived_at, due, flow, route=route, caller=caller, **values
+    )
+
+
+def queue_of(*openings):
+    queue = FairQueue()
+    for one in openings:
+        queue.push(one)
+    return queue
+
+
+def served(queue, count, now=0.0):
+    """Return the next openings in the order in which they are served."""
+    order = queue.in_order(now, COST_S)
+    result = list(itertools.islice(order, count))
+    next(order, None)
+    return result
+
+
+def test_least_slack_is_served_first_within_a_route():
+    openings = [opening(due=due) for due in (3.0, 1.0, 2.0)]
+    assert [one.due for one in served(queue_of(*openings), 3)] == [1.0, 2.0, 3.0]
+
+
+def test_higher_priority_is_served_first_within_its_share():
+    queue = queue_of(opening("a", priority=2, due=1.0), opening("b", priority=0))
+    assert [one.route for one in served(queue, 2)] == ["b", "a"]
+
+
+def test_late_openings_are_served_after_those_on_time():
+    queue = queue_of(opening("late", due=0.1), opening("on time", due=5.0))
+    assert [one.route for one in served(queue, 2, now=0.5)] == ["on time", "late"]
+
+
+def test_burst_of_a_route_leaves_others_their_share():
+    burst = [opening("burst", caller=n, due=1.0) for n in range(100)]
+    others = [opening("other", caller=n, due=5.0) for n in range(30)]
+    routes = Counter(one.route for one in served(queue_of(*burst, *others), 40))
+    assert 17 <= routes["other"] <= 23
+
+
+def test_shares_follow_the_priority_of_the_route():
+    openings = [opening("high", caller=n, priority=0) for n in range(100)]
+    openings += [opening("low", caller=n, priority=2) for n in range(100)]
+    routes = Counter(one.route for one in served(queue_of(*openings), 80))
+    assert 55 <= routes["high"] <= 65, "weights are 1 and 1/3"
+
+
+def test_shares_count_cost_and_not_openings():
+    openings = [opening("cheap", caller=n, cost_s=0.02) for n in range(200)]
+    openings += [opening("costly", caller=n, cost_s=0.2) for n in range(200)]
+    result = served(queue_of(*openings), 110)
+    cost_s = sum(one.cost_s for one in result if one.route == "costly")
+    assert cost_s == pytest.approx(sum(one.cost_s for one in result) / 2, rel=0.15)
+
+
+def test_unused_share_is_borrowed():
+    openings = [opening("a", caller=n) for n in range(20)]
+    assert len(served(queue_of(*openings, opening("b")), 21)) == 21
+
+
+def test_idle_route_accumulates_no_credit():
+    queue = queue_of(*(opening("a", caller=n) for n in range(100)))
+    served(queue, 60)
+    for number in range(40):
+        queue.push(opening("b", caller=number, due=1.0))
+    routes = Counter(one.route for one in served(queue, 40))
+    assert routes["b"] <= 24
+
+
+def test_caller_with_many_openings_does_not_stand_before_one_with_one():
+    many = [opening(caller=1, due=1.0) for _ in range(100)]
+    single = [opening(caller=2 + n, due=2.0) for n in range(5)]
+    callers = [one.caller for one in served(queue_of(*many, *single), 6)]
+    assert sorted(callers) == [1, 2, 3, 4, 5, 6]
+
+
+def test_late_openings_get_their_share_while_others_keep_coming():
+    late = [opening("late", due=0.0, caller_timeout_at=99.0) for _ in range(50)]
+    queue = queue_of(*late, *(opening("a", caller=n) for n in range(1000)))
+    routes = Counter(one.route for one in served(queue, 400, now=1.0))
+    assert routes["late"] == pytest.approx(400 * LATE_SHARE, abs=2)
+
+
+def test_late_opening_without_room_leaves_the_turn_to_one_on_time():
+    late = opening("late", due=0.0, caller_timeout_at=99.0)
+    queue = queue_of(late, *(opening("a", caller=n) for n in range(40)))
+    asked = []
+    for one in queue.in_order(1.0, COST_S):
+        asked.append(one.route)
+        if one.route == "late" and not queue.set_aside(one):
+            break
+    assert asked.count("a") == 40
+    assert len(queue) == 1, "the late one is kept"
+
+
+def test_opening_without_room_stays_at_the_head():
+    queue = queue_of(opening("a", due=1.0), opening("a", due=2.0))
+    for one in queue.in_order(0.0, COST_S):
+        assert one.due == 1.0
+        assert not queue.set_aside(one)
+        break
+    assert [one.due for one in served(queue, 2)] == [1.0, 2.0]
+
+
+def test_retry_beyond_the_budget_yields_to_others():
+    queue = queue_of(opening("a", due=1.0, yields=True), opening("a", due=2.0))
+    assert [one.yields for one in served(queue, 2)] == [False, True]
+
+
+def test_hopeless_opening_is_taken_out_before_its_timeout():
+    queue = queue_of(opening(due=0.2, caller_timeout_at=1.4))
+    assert list(queue.take_hopeless(1.34)) == []
+    (hopeless,) = queue.take_hopeless(1.36)
+    assert hopeless.caller_timeout_at == 1.4
+    assert len(queue) == 0 and list(queue.take_hopeless(9.0)) == []
+
+
+def test_expected_wait_counts_only_openings_that_stand_before():
+    burst = [opening("burst", caller=1, due=9.0) for _ in range(100)]
+    queue = queue_of(*burst)
+    same_caller = queue.expected_wait_s(10.0, opening("burst", caller=1, due=9.0))
+    other_caller = queue.expected_wait_s(10.0, opening("burst", caller=2, due=9.0))
+    other_route = queue.expected_wait_s(10.0, opening("other", due=9.0))
+    assert same_caller >= 10.0
+    assert other_caller < 1.0 and other_route < 1.0
+
+
+def test_short_queue_has_no_expected_wait():
+    queue = queue_of(*(opening() for _ in range(MIN_QUEUE_CAPACITY - 1)))
+    assert queue.expected_wait_s(0.0, opening()) == 0.0
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from("abc"),  # route
+        st.integers(1, 3),  # caller
+        st.integers(0, 2),  # priority
+        st.floats(0.0, 1.5),  # objective
+        st.floats(0.005, 0.3),  # cost
+        st.booleans(),  # a retry beyond the budget
+        st.integers(0, 3),  # openings served in the step
+        st.booleans(),  # whether late openings find room
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+def test_each_opening_is_answered_for_once_and_before_its_timeout(steps):
+    queue = FairQueue()
+    waiting = {}
+    now = 0.0
+
+    def leaves(one, latest):
+        assert waiting.pop(one.flow) is not None, "once"
+        assert now <= latest
+
+    idle = [("a", 1, 1, 1.0, 0.05, False, 0, False)] * 20
+    for number, step in enumerate([*steps, *idle]):
+        route, caller, priority, objective_s, cost_s, yields, room, late_room = step
+        now += 0.1
+        if number < len(steps):
+            one = opening(
+                route,
+                caller,
+                priority,
+                now,
+                now + objective_s,
+                cost_s=cost_s,
+                caller_timeout_at=now + 1.4,
+                yields=yields,
+            )
+            queue.push(one)
+            waiting[one.flow] = one
+        for one in queue.take_hopeless(now):
+            leaves(one, one.caller_timeout_at + 0.1)
+        for one in queue.in_order(now, COST_S):
+            is_late = one.yields or now > one.due - one.cost_s
+            if room and (late_room or not is_late):
+                room -= 1
+                leaves(one, one.caller_timeout_at)
+            elif not queue.set_aside(one):
+                break
+        assert len(queue) == len(waiting)
+        for one in waiting.values():
+            assert now <= one.caller_timeout_at, "none is kept past its timeout"
+    assert not waiting
+
+
+@given(st.lists(st.sampled_from("abcd"), min_size=1, max_size=60))
+def test_no_route_starves_while_others_keep_coming(routes):
+    """Each route with an opening gets one within a few rounds of all routes."""
+    queue = queue_of(*(opening(route, caller=n) for n, route in enumerate(routes)))
+    for number in range(200):
+        queue.push(opening("flood", caller=number, priority=0, due=0.5))
+    turns = [one.route for one in served(queue, 100)]
+    assert set(routes) <= set(turns)
+
+
+# Rate ------------------------------------------------------------------------------
+
+
+def upstreams(count=3):
+    return [
+        Upstream(upstream_record(f"up-{number}", "zone"), 0.0)
+        for number in range(count)
+    ]
+
+
+def outcome(upstream, service_s=0.02):
+    route = route_table().routes[0]
+    return RequestOutcome(upstream, route, 100, 100, service_s, False)
+
+
+def test_rate_follows_the_answers():
+    rate, (upstream, *_) = SmoothedServiceRate(), upstreams()
+    for number in range(300):
+        rate.request_answered(outcome(upstream), number / 100)
+    rate.answers_per_s(SERVICE, [upstream], 1.0)
+    for number in range(100, 300):
+        rate.answers_per_s(SERVICE, [upstream], number / 100)
+    estimate = rate.answers_per_s(SERVICE, [upstream], 3.0)
+    assert 90 <= estimate <= 120
+
+
+def test_new_queue_counts_the_flows_that_are_busy():
+    """Before openings wait, answers show the load and not the room."""
+    rate, candidates = SmoothedServiceRate(), upstreams()
+    rate.request_answered(outcome(candidates[0]), 0.0)
+    for upstream in candidates:
+        upstream.busy_flows = 2
+    assert rate.answers_per_s(SERVICE, candidates, 0.1) == pytest.approx(120.0)
+
+
+# Policy ----------------------------------------------------------------------------
+
+
+def new_policy():
+    return FairQueueing(SmoothedServiceRate(), TypicalCost(), DispatcherCounts())
+
+
+def flow(port=2000, now=0.0):
+    datagram = packet(port, SYN)
+    segment = PacketHeader().decode(datagram)
+    return ForwardedFlow(segment, datagram, route_table().routes[0], SERVICE, now)
+
+
+def test_retries_of_refused_callers_spend_a_budget_while_there_is_a_queue():
+    policy, queue = new_policy(), queue_of(opening())
+    yielding = []
+    for _ in range(20):
+        policy.note_refused(flow(), 1.0)
+        yielding.append(policy.describe(flow(), queue, 1.0).yields)
+    assert yielding == [False] * MIN_RETRIES + [True] * (20 - MIN_RETRIES)
+
+
+def test_first_attempts_earn_a_fifth_for_retries():
+    policy, queue = new_policy(), queue_of(opening())
+    for _ in range(40):
+        assert not policy.describe(flow(), queue, 1.0).yields
+    within = 0
+    for _ in range(40):
+        policy.note_refused(flow(), 1.0)
+        within += not policy.describe(flow(), queue, 1.0).yields
+    assert within == MIN_RETRIES + 10, "a fifth of 40 and 10"
+
+
+def test_retries_are_never_held_without_a_queue():
+    policy, queue = new_policy(), FairQueue()
+    for _ in range(40):
+        policy.note_refused(flow(), 1.0)
+        assert not policy.describe(flow(), queue, 1.0).yields
+
+
+def test_retry_is_recognised_once_and_for_a_moment_only():
+    refused = RefusedCallers()
+    refused.note_refused(1, "a", 0.0)
+    assert not refused.is_retry(2, "a", 0.1) and not refused.is_retry(1, "b", 0.1)
+    assert refused.is_retry(1, "a", 0.1) and not refused.is_retry(1, "a", 0.1)
+    refused.note_refused(1, "a", 1.0)
+    assert not refused.is_retry(1, "a", 1.1 + RETRY_WINDOW_S)
+
+
+def test_counts_by_route_are_bounded():
+    counts = LabelCounts()
+    for number in range(3000):
+        counts.add(f"route-{number}")
+    assert len(counts.by_label()) == MAX_LABELS + 1
+    assert counts.by_label()[OTHER_LABEL] == 3000 - MAX_LABELS
+
+
+# Dispatcher ------------------------------------------------------------------------
+
+
+def fair_harness():
+    counts = DispatcherCounts()
+    policy = FairQueueing(SmoothedServiceRate(), TypicalCost(), counts)
+    return DispatcherHarness(("a",), flow_limit=1, counts=counts, queueing=policy)
+
+
+def test_waiting_opening_is_refused_when_it_becomes_hopeless():
+    harness = fair_harness()
+    harness.open(2000, 0.0)
+    harness.dispatcher.handle(packet(2001, SYN), 0.0)
+    harness.advance(1.3)
+    assert reset_callers(harness) == []
+    harness.advance(1.36)
+    assert reset_callers(harness) == [2001]
+    counts = harness.dispatcher.counts
+    assert counts.reset == {"no room in time": 1}
+    assert counts.refused_by_route.by_label() == {"route": 1}
+
+
+def test_opening_that_may_have_been_sent_is_never_refused():
+    harness = fair_harness()
+    harness.dispatcher.handle(packet(2000, SYN), 0.0)
+    assert harness.sent() == ["a"]
+    for number in range(30):
+        harness.dispatcher.handle(packet(2100 + number, SYN), 0.01)
+    harness.advance(3.0)
+    assert reset_callers(harness)
+    assert 2000 not in reset_callers(harness)
+    sent = {
+        PacketHeader().decode(data[INSTANCE_PREFIX.size :]).caller[1]
+        for _, data in harness.port.to_upstreams
+    }
+    assert not sent & set(reset_callers(harness))
+
+
+def test_opening_whose_caller_has_given_up_is_dropped_without_a_reset():
+    harness = fair_harness()
+    harness.open(2000, 0.0)
+    harness.dispatcher.handle(packet(2001, SYN), 0.0)
+    harness.dispatcher.tick(2.0)
+    assert reset_callers(harness) == []
+    assert harness.dispatcher.counts.dropped == {"waited too long": 1}
+
+
+def test_new_opening_does_not_pass_those_that_wait():
+    """Room that is there again, as after a pause, goes to the head of the queue."""
+    harness = fair_harness()
+    harness.open(2000, 0.0)
+    harness.dispatcher.handle(packet(2001, SYN), 0.01)
+    harness.upstream("a").busy_flows = 0
+    harness.dispatcher.handle(packet(2002, SYN), 0.02)
+    ((_, sent),) = harness.port.to_upstreams
+    assert PacketHeader().decode(sent[INSTANCE_PREFIX.size :]).caller[1] == 2001
+    assert harness.dispatcher.waiting == 1
+
+
+# Slow start ------------------------------------------------------------------------
+
+
+class FirstCandidate:
+    def choose(self, candidates, opening):
+        return candidates[0]
+
+
+def wanted(now, on_time=True, tried=()):
+    return Opening(route_table().routes[0], tried, (), on_time, now)
+
+
+def test_slow_start_holds_openings_back_until_answers_are_prompt():
+    selector, candidates = SlowStartSelector(FirstCandidate(), lambda: 0), upstreams()
+    candidates[0].busy_flows = int(INITIAL_WINDOW)
+    assert selector.choose(candidates, wanted(0.0)) is None
+    for _ in range(5):
+        selector.request_answered(outcome(candidates[0]), 0.1)
+    assert selector.choose(candidates, wanted(0.1)) is candidates[0]
+
+
+def test_late_openings_use_a_part_of_the_window():
+    selector, candidates = SlowStartSelector(FirstCandidate(), lambda: 0), upstreams()
+    candidates[0].busy_flows = 1
+    assert selector.choose(candidates, wanted(0.0, on_time=False)) is None
+    assert selector.choose(candidates, wanted(0.0)) is candidates[0]
+
+
+def test_slow_start_does_not_hold_back_resends():
+    selector, candidates = SlowStartSelector(FirstCandidate(), lambda: 0), upstreams()
+    candidates[1].busy_flows = 9
+    assert selector.choose(candidates, wanted(0.0, tried=(candidates[1],)))
+
+
+def test_window_is_at_least_the_share_of_a_small_fleet():
+    selector, candidates = SlowStartSelector(FirstCandidate(), lambda: 2), upstreams(10)
+    candidates[0].busy_flows = 9
+    assert selector.choose(candidates, wanted(0.0)) is None
+    assert selector.choose(candidates, wanted(FLEET_HEARD_AFTER_S + 0.1))
+
+
+def test_slow_start_ends_even_if_no_answer_is_prompt():
+    """Where upstreams are slow at any load, a window that stays small loses callers."""
+    selector, candidates = SlowStartSelector(FirstCandidate(), lambda: 0), upstreams()
+    candidates[0].busy_flows = 50
+    assert selector.choose(candidates, wanted(0.0)) is None
+    assert selector.choose(candidates, wanted(SLOW_START_S + 0.1))
+    assert selector.choose(candidates, wanted(SLOW_START_S + 9.0)), "for good"
