--- a/egrethook/callers/service_rate.py
+++ b/egrethook/callers/service_rate.py
@@ -8,17 +8,17 @@
 
 from egrethook.callers.queueing_policy import TYPICAL_SERVICE_TIME_S
 from egrethook.upstreams.requests import RequestOutcome
-from egrethook.upstreams.upstream import Upstream, upstream_load
+from egrethook.upstreams.upstream import Upstream
 
 RATE_AVERAGE_S = 1.0
 """Time constant of the moving average of the rate, in seconds."""
 
+RATE_MARGIN = 1.5
+"""Factor by which the rate may rise while an opening waits."""
+
 QUIET_S = 0.5
 """Time without a waiting opening after which a queue counts as new, in seconds."""
 
-LOAD_CACHE_S = 0.05
-"""Time for which the load of a service's upstreams is kept, in seconds."""
-
 
 class ServiceRate(Protocol):
     """Tells how many requests of this balancer are completed per second."""
@@ -31,23 +31,23 @@
 
 
 class _Rate:
-    """A decaying count of answers, and the rate that the busy flows allow."""
+    """A decaying count of answers, and since when openings wait."""
 
-    __slots__ = ("answers_per_s", "answered_at", "asked_at", "busy_rate", "queued_at")
+    __slots__ = ("answered_at", "answers_per_s", "asked_at", "queued_at")
 
     def __init__(self, now: float) -> None:
         self.answers_per_s = 0.0
         self.answered_at = now
         self.asked_at = self.queued_at = float("-inf")
-        self.busy_rate = 0.0
 
 
 class SmoothedServiceRate:
     """Averages the answers of about a second, as a `RequestListener`.
 
     Before openings wait, the rate of answers shows the load and not the room. So in
-    the first second of a queue, the busy flows count too, by Little's law. The
-    standard error is added, because a false refusal costs its caller more than a wait.
+    the first second of a queue, all slots are taken to serve this balancer. Later a
+    margin and the standard error are added. Both are upper estimates, because a false
+    refusal costs its caller more than a wait.
     """
 
     def __init__(self) -> None:
@@ -71,16 +71,13 @@
             rate = self._rates[service] = _Rate(now)
         if now - rate.asked_at > QUIET_S:
             rate.queued_at = now
-        measured = _decayed(rate, now)
-        estimate = measured + sqrt(measured / (2.0 * RATE_AVERAGE_S))
-        if now - rate.queued_at < RATE_AVERAGE_S:
-            if now - rate.asked_at > LOAD_CACHE_S:
-                load = upstream_load(candidates, TYPICAL_SERVICE_TIME_S)
-                rate.busy_rate = load.answers_per_s
-                rate.asked_at = now
-            return max(estimate, rate.busy_rate)
         rate.asked_at = now
-        return estimate
+        if now - rate.queued_at < RATE_AVERAGE_S:
+            slots = sum(upstream.record.slots for upstream in candidates)
+            return slots / TYPICAL_SERVICE_TIME_S
+        measured = _decayed(rate, now)
+        standard_error = sqrt(measured / (2.0 * RATE_AVERAGE_S))
+        return RATE_MARGIN * measured + standard_error
 
 
 def _decayed(rate: _Rate, now: float) -> float:
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -45,7 +45,7 @@
     port: PacketPort,
     limit: FlowLimit,
     cold_admission: ColdAdmission,
-    live_balancers: Callable[[], int] = lambda: 0,
+    live_balancers: Callable[[], int] | None = None,
 ) -> DataPath:
     """Return the connected parts of one balancer.
 
@@ -66,7 +66,8 @@
     cold_admission : ColdAdmission
         Limits the openings of cold upstreams.
     live_balancers : callable, optional
-        Returns the number of live balancers, this one included; 0 if unknown.
+        Returns the number of live balancers, this one included; 0 if unknown. If
+        given, the flows of a service grow by slow start after the start.
     """
     health = PassiveHealth(name)
     filters: list[CandidateFilter] = []
@@ -78,6 +79,7 @@
     queueing: QueueingPolicy | None = None
     if Feature.FAIR_QUEUEING in features:
         queueing = _fair_queueing(TypicalCost(), counts, listeners)
+    if live_balancers is not None:
         selector = _with_slow_start(selector, live_balancers, listeners)
     dispatcher = FlowDispatcher(
         view, codec, port, selector, limit, health, listeners, counts, queueing
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -116,7 +116,7 @@
             FleetColdLimit(
                 self._cold_limits, lambda upstream: self._is_cold_sender(upstream.name)
             ),
-            lambda: self._live_balancers(),
+            (lambda: self._live_balancers()) if settings.slow_start else None,
         )
         self._health = data_path.health
         self._dispatcher = data_path.dispatcher
--- a/egrethook/forwarding/settings.py
+++ b/egrethook/forwarding/settings.py
@@ -65,6 +65,13 @@
         list[Feature] | None,
         _described("optional features that are on, in place of those by guarantee"),
     ] = None
+    slow_start: Annotated[
+        bool,
+        _described(
+            "whether a process that has just started sends few requests to a service "
+            "at once, and more as answers arrive"
+        ),
+    ] = False
     leave_s: Annotated[
         float,
         _described("time to keep forwarding after a leave request, in seconds", ge=0),
--- a/egrethook/upstreams/slow_start.py
+++ b/egrethook/upstreams/slow_start.py
@@ -28,12 +28,9 @@
 PROMPT_INCREASE = 0.5
 """Added to the window while a whole window is answered promptly, in busy flows."""
 
-SLOW_INCREASE = 0.05
+SLOW_INCREASE = 0.02
 """Added for other answers, in busy flows: upstreams may be slow at any load."""
 
-LATE_WINDOW_SHARE = 0.5
-"""Fraction of the window that openings may use which are late already."""
-
 _LOG = PartLog("queueing")
 
 
@@ -75,7 +72,7 @@
         self, candidates: Sequence[Upstream], opening: Opening
     ) -> Upstream | None:
         """Return the best candidate, or None if none has room or the window is full."""
-        if candidates and not opening.tried and self._is_full(candidates, opening):
+        if candidates and not opening.tried and self._is_full(candidates, opening.now):
             return None
         return self._selector.choose(candidates, opening)
 
@@ -91,23 +88,22 @@
         increase = PROMPT_INCREASE if is_prompt else SLOW_INCREASE
         window.flows += increase / window.flows
 
-    def _is_full(self, candidates: Sequence[Upstream], opening: Opening) -> bool:
+    def _is_full(self, candidates: Sequence[Upstream], now: float) -> bool:
         service = candidates[0].service
         window = self._windows.get(service)
         if window is None:
-            window = self._windows[service] = _Window(opening.now)
+            window = self._windows[service] = _Window(now)
             _LOG.info("slow start begins.", service=service, window=window.flows)
         if window.has_ended:
             return False
-        age_s = opening.now - window.started_at
+        age_s = now - window.started_at
         slots = sum(upstream.record.slots for upstream in candidates)
         if age_s > FLEET_HEARD_AFTER_S and not window.has_share:
             self._grant_share(window, slots)
         if age_s > SLOW_START_S or window.flows >= slots:
-            self._end(window, service, opening.now)
+            self._end(window, service, now)
             return False
-        limit = window.flows if opening.on_time else window.flows * LATE_WINDOW_SHARE
-        return sum(upstream.busy_flows for upstream in candidates) >= limit
+        return sum(upstream.busy_flows for upstream in candidates) >= window.flows
 
     def _grant_share(self, window: _Window, slots: int) -> None:
         """Open the window to this balancer's share of the slots, if that is known."""
