Expect of each route what its requests cost while openings wait

An opening is late once its own route's cost no longer fits before its due time, at most three quarters of the objective; the caller's timeout ends with the opening's answer.

--- a/egrethook/callers/fair_queue.py
+++ b/egrethook/callers/fair_queue.py
@@ -16,18 +16,24 @@
 LATE_SHARE = 0.05
 """Share of the served cost that goes to late openings while others wait."""
 
+OPENING_MARGIN_S = 0.05
+"""Time that an upstream's answer to an opening takes to its caller, in seconds.
+
+The caller's timeout ends with that answer, however long the request itself takes.
+"""
+
 MAX_LATE_CREDIT_S = 0.5
 """Upper bound of the cost that late openings may claim at once, in seconds."""
 
 
 def _start_by(opening: WaitingOpening) -> float:
     """Return when an opening must be sent to be on time, in seconds."""
-    return opening.due - opening.cost_s
+    return opening.start_by
 
 
 def _give_up_at(opening: WaitingOpening) -> float:
     """Return after when an opening can't be answered any more, in seconds."""
-    return opening.caller_timeout_at - opening.cost_s
+    return opening.caller_timeout_at - OPENING_MARGIN_S
 
 
 class FairQueue:
--- a/egrethook/callers/fair_queueing.py
+++ b/egrethook/callers/fair_queueing.py
@@ -14,8 +14,22 @@
 from egrethook.discovery.records import Route
 from egrethook.logs import PartLog
 from egrethook.retries import RetryBudget
+from egrethook.upstreams.requests import RequestOutcome
 from egrethook.upstreams.upstream import Upstream
 
+COST_WEIGHT = 0.1
+"""Weight of the newest request in the average cost of its route."""
+
+MAX_ROUTES = 1024
+"""Bound on the routes whose average cost is kept."""
+
+MAX_LEAD_SHARE = 0.75
+"""Fraction of the latency objective that an expected cost takes at most.
+
+Where upstreams are slower than the objective, each opening would be late as soon as it
+arrives, and none could be preferred.
+"""
+
 RETRIES_PER_FIRST_ATTEMPT = 0.25
 """Queued retries per queued first attempt: a fifth of all that wait."""
 
@@ -42,12 +56,27 @@
         ...
 
 
-class TypicalCost:
-    """Expects the same of each route."""
+class MeasuredCost:
+    """Averages the service times of each route, as a `RequestListener`.
+
+    A route without answers, or with short ones, has the typical service time.
+    """
+
+    def __init__(self) -> None:
+        self._costs_s: dict[str, float] = {}
+
+    def request_answered(self, outcome: RequestOutcome, now: float) -> None:
+        """Add a service time to the average of its route."""
+        name = outcome.route.name
+        average_s = self._costs_s.get(name, outcome.service_s)
+        average_s += COST_WEIGHT * (outcome.service_s - average_s)
+        if name not in self._costs_s and len(self._costs_s) >= MAX_ROUTES:
+            del self._costs_s[next(iter(self._costs_s))]
+        self._costs_s[name] = average_s
 
     def expected_cost_s(self, route: Route) -> float:
-        """Return a typical service time, in seconds."""
-        return TYPICAL_SERVICE_TIME_S
+        """Return the average service time of a route, in seconds."""
+        return max(TYPICAL_SERVICE_TIME_S, self._costs_s.get(route.name, 0.0))
 
 
 class RefusedCallers:
@@ -129,6 +158,7 @@
     ) -> WaitingOpening:
         """Return the queue entry of an opening; retries beyond the budget yield."""
         route = flow.route
+        cost_s = max(self._costs.expected_cost_s(route), MIN_COST_S)
         return WaitingOpening(
             route.priority,
             now,
@@ -136,7 +166,8 @@
             flow.segment.flow,
             route.name,
             flow.segment.caller[0],
-            max(self._costs.expected_cost_s(route), MIN_COST_S),
+            cost_s,
+            flow.due_at - _lead_s(cost_s, route.objective_s),
             flow.caller_timeout_at,
             self._exceeds_retry_budget(flow, queue, now),
         )
@@ -204,3 +235,8 @@
             budget.record_request(now)
             return False
         return len(queue) > 0 and not budget.try_retry(now)
+
+
+def _lead_s(cost_s: float, objective_s: float) -> float:
+    """Return how long before its due time an opening must be sent, in seconds."""
+    return min(cost_s, MAX_LEAD_SHARE * objective_s)
--- a/egrethook/callers/opening_queues.py
+++ b/egrethook/callers/opening_queues.py
@@ -81,7 +81,7 @@
             queue = self._queues[flow.service] = self._policy.new_queue()
         opening = self._policy.describe(flow, queue, now)
         wait_s = queue.expected_wait_s(self._answers_per_s(flow.service, now), opening)
-        if now + wait_s + opening.cost_s > flow.caller_timeout_at:
+        if now + wait_s + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
             self._refuse(flow, "too many wait", queue, wait_s, now)
             return
         self._counts.waited += 1
@@ -106,7 +106,7 @@
             flow = self._waiting_flow(waiting)
             if flow is None:
                 continue
-            if now + waiting.cost_s > flow.caller_timeout_at:
+            if now + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
                 self._drop(flow, len(queue), now)
                 continue
             flow.has_guaranteed_room = waiting.is_guaranteed
--- a/egrethook/callers/queueing_policy.py
+++ b/egrethook/callers/queueing_policy.py
@@ -75,7 +75,6 @@
             now,
             flow.due_at,
             flow.segment.flow,
-            cost_s=TYPICAL_SERVICE_TIME_S,
         )
 
     def answers_per_s(
--- a/egrethook/callers/waiting.py
+++ b/egrethook/callers/waiting.py
@@ -29,6 +29,8 @@
         The caller's IPv4 address.
     cost_s : float
         Expected time from sending it to its answer, in seconds.
+    start_by : float
+        When it must be sent to meet its latency objective, in seconds.
     caller_timeout_at : float
         When the caller abandons it, in seconds.
     yields : bool
@@ -44,6 +46,7 @@
     route: str = ""
     caller: int = 0
     cost_s: float = 0.0
+    start_by: float = float("inf")
     caller_timeout_at: float = float("inf")
     yields: bool = False
     is_guaranteed: bool = False
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
-from egrethook.callers.fair_queueing import ExpectedCost, FairQueueing, TypicalCost
+from egrethook.callers.fair_queueing import FairQueueing, MeasuredCost
 from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.callers.forwarded_flow import DispatcherCounts
 from egrethook.callers.queueing_policy import QueueingPolicy
@@ -78,7 +78,7 @@
     counts = DispatcherCounts()
     queueing: QueueingPolicy | None = None
     if Feature.FAIR_QUEUEING in features:
-        queueing = _fair_queueing(TypicalCost(), counts, listeners)
+        queueing = _fair_queueing(counts, listeners)
     if live_balancers is not None:
         selector = _with_slow_start(selector, live_balancers, listeners)
     dispatcher = FlowDispatcher(
@@ -88,11 +88,12 @@
 
 
 def _fair_queueing(
-    costs: ExpectedCost, counts: DispatcherCounts, listeners: list[RequestListener]
+    counts: DispatcherCounts, listeners: list[RequestListener]
 ) -> QueueingPolicy:
-    """Return the policy for fair queueing; it learns the rate as a listener."""
+    """Return the policy for fair queueing; it learns rate and costs as a listener."""
     rate = SmoothedServiceRate()
-    listeners.append(rate)
+    costs = MeasuredCost()
+    listeners += [rate, costs]
     return FairQueueing(rate, costs, counts)
 
 
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -19,10 +19,11 @@
     MIN_RETRIES,
     RETRY_WINDOW_S,
     FairQueueing,
+    MeasuredCost,
     RefusedCallers,
-    TypicalCost,
 )
 from egrethook.callers.forwarded_flow import DispatcherCounts, ForwardedFlow
+from egrethook.callers.queueing_policy import TYPICAL_SERVICE_TIME_S
 from egrethook.callers.service_rate import RATE_MARGIN, SmoothedServiceRate
 from egrethook.callers.waiting import MIN_QUEUE_CAPACITY, WaitingOpening
 from egrethook.emulator.flow_records import SERVICE, route_table, upstream_record
@@ -44,6 +45,7 @@
 
 def opening(route="a", caller=1, priority=1, arrived_at=0.0, due=10.0, **fields):
     values = {"cost_s": COST_S, "caller_timeout_at": due + 1.0} | fields
+    values.setdefault("start_by", due - values["cost_s"])
     flow = str(next(_flow_numbers)).encode()
     return WaitingOpening(
         priority, arrived_at, due, flow, route=route, caller=caller, **values
@@ -130,6 +132,12 @@
     assert routes["late"] == pytest.approx(400 * LATE_SHARE, abs=2)
 
 
+def test_expected_cost_does_not_shorten_the_wait_of_an_opening():
+    """A caller gives up its opening, not the request that runs once it is open."""
+    queue = queue_of(opening(due=0.2, caller_timeout_at=1.4, cost_s=0.9))
+    assert list(queue.take_hopeless(1.3)) == []
+
+
 def test_late_opening_without_room_leaves_the_turn_to_one_on_time():
     late = opening("late", due=0.0, caller_timeout_at=99.0)
     queue = queue_of(late, *(opening("a", caller=n) for n in range(40)))
@@ -279,11 +287,20 @@
     assert rate.answers_per_s(SERVICE, candidates, 0.1) == pytest.approx(120.0)
 
 
+def test_cost_of_a_route_is_that_of_its_requests():
+    costs, (upstream, *_) = MeasuredCost(), upstreams()
+    route = route_table().routes[0]
+    assert costs.expected_cost_s(route) == TYPICAL_SERVICE_TIME_S
+    for _ in range(40):
+        costs.request_answered(outcome(upstream, 0.3), 0.0)
+    assert costs.expected_cost_s(route) == pytest.approx(0.3)
+
+
 # Policy ----------------------------------------------------------------------------
 
 
 def new_policy():
-    return FairQueueing(SmoothedServiceRate(), TypicalCost(), DispatcherCounts())
+    return FairQueueing(SmoothedServiceRate(), MeasuredCost(), DispatcherCounts())
 
 
 def flow(port=2000, now=0.0):
@@ -341,7 +358,7 @@
 
 def fair_harness():
     counts = DispatcherCounts()
-    policy = FairQueueing(SmoothedServiceRate(), TypicalCost(), counts)
+    policy = FairQueueing(SmoothedServiceRate(), MeasuredCost(), counts)
     return DispatcherHarness(("a",), flow_limit=1, counts=counts, queueing=policy)
 
 
