--- a/egrethook/callers/fair_queueing.py
+++ b/egrethook/callers/fair_queueing.py
@@ -205,14 +205,14 @@
         caller = flow.segment.caller[0]
         self._refused_callers.note_refused(caller, flow.route.name, now)
 
-    def note_served(self, flow: ForwardedFlow, queue: OpeningQueue, now: float) -> None:
+    def note_empty(self, service: str, now: float) -> None:
         """Log that no opening waits any more."""
-        report = self._reports.get(flow.service)
-        if report is None or not report.is_open or len(queue) > 1:
+        report = self._reports.get(service)
+        if report is None or not report.is_open:
             return
         _LOG.info(
             "no opening waits any more.",
-            service=flow.service,
+            service=service,
             after_ms=round((now - report.since) * 1000),
             waited=report.waited,
             refused=report.refused,
--- a/egrethook/callers/opening_queues.py
+++ b/egrethook/callers/opening_queues.py
@@ -112,9 +112,10 @@
             flow.has_guaranteed_room = waiting.is_guaranteed
             if self._send(flow, now):
                 self._counts.wait_times.observe(now - flow.arrived_at)
-                self._policy.note_served(flow, queue, now)
             elif not queue.set_aside(waiting):
                 return
+        if not queue:
+            self._policy.note_empty(service, now)
 
     def refuse_all(self) -> None:
         """Refuse all queued openings, which have not run, because the process ends."""
--- a/egrethook/callers/queueing_policy.py
+++ b/egrethook/callers/queueing_policy.py
@@ -49,8 +49,8 @@
         """Handle that an opening was refused; its caller may try again at once."""
         ...
 
-    def note_served(self, flow: ForwardedFlow, queue: OpeningQueue, now: float) -> None:
-        """Handle that a queued opening was sent."""
+    def note_empty(self, service: str, now: float) -> None:
+        """Handle that no opening of a service waits any more."""
         ...
 
 
@@ -94,5 +94,5 @@
     def note_refused(self, flow: ForwardedFlow, now: float) -> None:
         """Do nothing."""
 
-    def note_served(self, flow: ForwardedFlow, queue: OpeningQueue, now: float) -> None:
+    def note_empty(self, service: str, now: float) -> None:
         """Do nothing."""
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -28,6 +28,7 @@
 from egrethook.callers.waiting import MIN_QUEUE_CAPACITY, WaitingOpening
 from egrethook.emulator.flow_records import SERVICE, route_table, upstream_record
 from egrethook.label_counts import MAX_LABELS, OTHER_LABEL, LabelCounts
+from egrethook.logs import set_destination
 from egrethook.platform.packet_header import INSTANCE_PREFIX, SYN, PacketHeader
 from egrethook.upstreams.requests import RequestOutcome
 from egrethook.upstreams.selection import Opening
@@ -412,6 +413,35 @@
     assert harness.dispatcher.waiting == 1
 
 
+class LinesOfPart:
+    def __init__(self):
+        self.lines = []
+
+    def write(self, level, part, sentence, fields):
+        if part == "queueing":
+            self.lines.append((sentence, fields))
+
+
+@pytest.fixture
+def queueing_log():
+    log = LinesOfPart()
+    previous = set_destination(log)
+    yield log.lines
+    set_destination(previous)
+
+
+def test_log_tells_when_a_queue_forms_and_ends(queueing_log):
+    harness = fair_harness()
+    harness.open(2000, 0.0)
+    for number in range(5):
+        harness.dispatcher.handle(packet(2001 + number, SYN), 0.01)
+    assert [sentence for sentence, _ in queueing_log] == ["openings wait for room."]
+    harness.advance(1.5)
+    sentence, fields = queueing_log[-1]
+    assert sentence == "no opening waits any more."
+    assert (fields["waited"], fields["refused"]) == (5, 5)
+
+
 # Slow start ------------------------------------------------------------------------
 
 
