--- a/egrethook/emulator/flow_peers.py
+++ b/egrethook/emulator/flow_peers.py
@@ -90,6 +90,8 @@
         the caller closes the flow after the answer.
     domain : str, optional
         If given, each attempt uses a random balancer of this failure domain.
+    target : tuple of int
+        Address and port of the route.
     sent, received : int
         Bytes sent and received on the flow.
     port : int
@@ -100,8 +102,6 @@
         Whether an upstream has received the request on the current flow.
     flow_reset : bool
         Whether the flow was reset after the answer.
-    target : IPv4Endpoint
-        Address of the route.
     retransmits : bool
         Whether the caller repeats its request until it is answered.
     faults : list of str
@@ -116,6 +116,7 @@
     service_time_s: float
     think_time_s: Callable[[], float] | None = None
     domain: str | None = None
+    target: IPv4Endpoint = TARGET
     sent: int = 0
     received: int = 0
     attempt: int = 0
@@ -125,7 +126,6 @@
     flow_reset: bool = False
     answered_at: float | None = None
     failed: bool = False
-    target: IPv4Endpoint = TARGET
     answer_bytes: int = 1_000
     retransmits: bool = False
     faults: list[str] = field(default_factory=list)
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -32,6 +32,7 @@
 )
 from egrethook.emulator.flow_records import (
     CALLER_HOST,
+    SERVICE,
     SLOTS,
     TARGET,
     InMemoryDecoder,
@@ -132,9 +133,13 @@
         The optional parts of the balancers that are switched on.
     objective_s : float
         Latency objective of the route, in seconds.
+    slow_start : bool
+        Whether balancers start with few flows of a service.
 
     Attributes
     ----------
+    table : RouteTable
+        The routes that `publish` publishes.
     resets : int
         Resets that callers got on flows of theirs.
     upstreams_of_reset_flows : list of str
@@ -152,6 +157,7 @@
         loss_share: float = 0.0,
         features: Collection[Feature] = (),
         objective_s: float = 0.15,
+        slow_start: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.caller_delay_s = caller_delay_s
@@ -160,13 +166,14 @@
         self._shares_health = shares_health
         self._loss_share = loss_share
         self._features = features
-        self._objective_s = objective_s
+        self._slow_start = slow_start
         self.draw_service_time_s = lambda: self.rng.uniform(0.012, 0.035)
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
         self._ports = itertools.count(1024)
         self.decoder = InMemoryDecoder()
+        self.table = route_table(objective_s=objective_s)
         self.upstreams: dict[str, SimulatedUpstream] = {}
         self.calls: list[Call] = []
         self.resets = 0
@@ -193,6 +200,7 @@
             _SimulatedPacketPort(self, domain, number),
             limit,
             NoColdLimit(),
+            self._live_balancers if self._slow_start else None,
         )
         data_path.dispatcher.view_is_fresh = True
         health, outliers = data_path.health, data_path.outliers
@@ -226,6 +234,9 @@
 
         self.after(INTRA_DOMAIN_DELAY_S, arrive)
 
+    def _live_balancers(self) -> int:
+        return sum(vm.up for vm in self.vms)
+
     def _share_health(
         self, sender: SimulatedVm, upstream: Upstream, observation: HealthObservation
     ) -> None:
@@ -242,17 +253,16 @@
         self.after(INTRA_DOMAIN_DELAY_S, arrive)
 
     def add_upstream(
-        self, name: str, domain: str, slots: int = SLOTS
+        self, name: str, domain: str, slots: int = SLOTS, service: str = SERVICE
     ) -> SimulatedUpstream:
         """Add an upstream without publishing it to the balancers."""
-        record = upstream_record(name, domain, slots=slots)
+        record = upstream_record(name, domain, slots=slots, service=service)
         self.upstreams[name] = SimulatedUpstream(record)
         return self.upstreams[name]
 
     def publish(self, vm: SimulatedVm, revision: int = 1) -> None:
         """Publish the configuration and all upstreams to a balancer."""
-        routes = route_table(objective_s=self._objective_s)
-        items = [PublishedItem(ItemKind.ROUTES, "", revision, self._encode(routes))]
+        items = [PublishedItem(ItemKind.ROUTES, "", revision, self._encode(self.table))]
         for upstream in self.upstreams.values():
             value = self._encode(upstream.record)
             name = upstream.record.name
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -5,12 +5,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 from zlib import crc32
 
+from egrethook.callers.fair_queueing import FairQueueing, MeasuredCost
 from egrethook.callers.flow_dispatch import FlowDispatcher
+from egrethook.callers.forwarded_flow import DispatcherCounts
+from egrethook.callers.queueing_policy import QueueingPolicy
 from egrethook.callers.segments import PacketPort, SegmentCodec
+from egrethook.callers.service_rate import SmoothedServiceRate
 from egrethook.discovery.view import ForwardingView
 from egrethook.forwarding.features import Feature
 from egrethook.upstreams.cold_limit import ColdAdmission
@@ -30,6 +34,7 @@
     PlacementCost,
     UpstreamSelector,
 )
+from egrethook.upstreams.slow_start import SlowStartSelector
 
 
 class CostAwarePlacement(NamedTuple):
@@ -62,6 +67,7 @@
     port: PacketPort,
     limit: FlowLimit,
     cold_admission: ColdAdmission,
+    live_balancers: Callable[[], int] | None = None,
 ) -> DataPath:
     """Return the connected parts of one balancer.
 
@@ -81,6 +87,9 @@
         Limits the busy flows of each upstream.
     cold_admission : ColdAdmission
         Limits the openings of cold upstreams.
+    live_balancers : callable, optional
+        Returns the number of live balancers, this one included; 0 if unknown. If
+        given, the flows of a service grow by slow start after the start.
     """
     health = PassiveHealth(name)
     filters: list[CandidateFilter] = []
@@ -104,8 +113,23 @@
         listeners.append(outliers)
         stall_listeners.append(outliers)
         selector = OutlierSelector(selector, outliers)
+    if live_balancers is not None:
+        selector = _with_slow_start(selector, live_balancers, listeners)
+    counts = DispatcherCounts()
+    queueing: QueueingPolicy | None = None
+    if Feature.FAIR_QUEUEING in features:
+        queueing = _fair_queueing(counts, listeners)
     dispatcher = FlowDispatcher(
-        view, codec, port, selector, limit, health, listeners, stall_listeners
+        view,
+        codec,
+        port,
+        selector,
+        limit,
+        health,
+        listeners,
+        stall_listeners,
+        counts,
+        queueing,
     )
     return DataPath(dispatcher, health, selector, outliers, cost_aware)
 
@@ -118,3 +142,24 @@
     outstanding = OutstandingWork(costs)
     comparison = ExpectedFinishCost(domain, costs, speeds, outstanding, terms)
     return CostAwarePlacement(costs, speeds, comparison)
+
+
+def _fair_queueing(
+    counts: DispatcherCounts, listeners: list[RequestListener]
+) -> QueueingPolicy:
+    """Return the policy for fair queueing; it learns rate and costs as a listener."""
+    rate = SmoothedServiceRate()
+    costs = MeasuredCost()
+    listeners += [rate, costs]
+    return FairQueueing(rate, costs, counts)
+
+
+def _with_slow_start(
+    selector: UpstreamSelector,
+    live_balancers: Callable[[], int],
+    listeners: list[RequestListener],
+) -> UpstreamSelector:
+    """Return a selector with slow start; it learns from prompt answers."""
+    slow_start = SlowStartSelector(selector, live_balancers)
+    listeners.append(slow_start)
+    return slow_start
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -126,6 +126,7 @@
         if Feature.DOMAIN_DEPARTURE in settings.enabled_features:
             forwarder.set_departure(self._departure)
             self._gossip.set_handler(ReachReport, self._on_reach_report)
+        forwarder.set_live_balancers(self._live_balancers)
         self._follower = RegistryFollower(
             source, forwarder.replica, self._should_read_registry, self._clock, rng
         )
@@ -216,6 +217,11 @@
             members.live_domains(self._clock.now()), members.known_domains()
         )
 
+    def _live_balancers(self) -> int:
+        """Return the number of live balancers, or 0 before any other is heard."""
+        others = len(self._members.live(self._clock.now()))
+        return others + 1 if others else 0
+
     # Domain departure ------------------------------------------------------------
 
     async def _run_departure(self) -> None:
