--- a/egrethook/emulator/flow_records.py
+++ b/egrethook/emulator/flow_records.py
@@ -23,9 +23,6 @@
 TARGET: IPv4Endpoint = (0xC6120001, 8443)
 """Address of the route: 198.18.0.1, port 8443."""
 
-NON_IDEMPOTENT_TARGET: IPv4Endpoint = (0xC6120001, 9443)
-"""Address of a route whose requests must not run twice."""
-
 SLOTS = 2
 """Default number of slots of an upstream."""
 
@@ -132,7 +129,7 @@
 def route_table(
     version: int = 1, objective_s: float = 0.15, idempotent: bool = True
 ) -> RouteTable:
-    """Return a table with one service, and a second route that is not idempotent."""
+    """Return a route table with one route to one service."""
     route = Route(
         name="route",
         address=TARGET,
@@ -142,7 +139,4 @@
         objective_s=objective_s,
         idempotent=idempotent,
     )
-    other = structs.replace(
-        route, name="once", address=NON_IDEMPOTENT_TARGET, idempotent=False
-    )
-    return RouteTable(version, (route, other), {})
+    return RouteTable(version, (route,), {})
--- a/tests/test_cost_aware_placement.py
+++ b/tests/test_cost_aware_placement.py
@@ -36,11 +36,11 @@
 from egrethook.upstreams.speeds import SpeedEstimate
 from egrethook.upstreams.upstream import Upstream
 
-(ROUTE,) = route_table(objective_s=0.4).routes
+ROUTE = route_table(objective_s=0.4).routes[0]
 
 
 def route(name):
-    (one,) = route_table(objective_s=0.4).routes
+    one = route_table(objective_s=0.4).routes[0]
     return type(one)(
         name=name,
         address=one.address,
--- a/tests/test_outlier_load.py
+++ b/tests/test_outlier_load.py
@@ -14,7 +14,7 @@
 
 from egrethook.emulator import flow_world
 from egrethook.emulator.flow_peers import AnswerFault
-from egrethook.emulator.flow_records import NON_IDEMPOTENT_TARGET, TARGET
+from egrethook.emulator.flow_records import TARGET, add_route
 from egrethook.emulator.flow_world import FlowWorld
 from egrethook.forwarding.features import Feature
 from egrethook.platform.packet_header import ACK, FIN
@@ -22,6 +22,7 @@
 
 DOMAINS = ("zone-a", "zone-b", "zone-c")
 FAILING = [f"up-{number}" for number in range(0, 56, 8)]
+NON_IDEMPOTENT_TARGET = (TARGET[0], 9443)
 FAULT_S = (2.5, 7.5)
 RATE_PER_S = 590.0
 SEEDS = (1, 2, 3)
@@ -48,6 +49,9 @@
     world = FlowWorld(seed, vm_domains, inter_domain_delay_s=0.002, features=features)
     for number in range(60):
         world.add_upstream(f"up-{number}", DOMAINS[number % 3], slots=slots)
+    world.table = add_route(
+        world.table, "once", address=NON_IDEMPOTENT_TARGET, idempotent=False
+    )
     for vm in world.vms:
         world.publish(vm)
     if fault is not None:
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -14,6 +14,7 @@
 from egrethook.emulator.flow_records import (
     SERVICE,
     InMemoryDecoder,
+    add_route,
     route_table,
     upstream_record,
 )
@@ -31,7 +32,7 @@
 from egrethook.upstreams.selection import Opening
 from egrethook.upstreams.upstream import Upstream
 
-IDEMPOTENT, ONCE = route_table().routes
+IDEMPOTENT, ONCE = add_route(route_table(), "once", idempotent=False).routes
 GOOD = (0.03, 1_000)
 FAILED = (0.003, 150)
 UPSTREAMS = 10
