Leave out upstreams whose answers differ from their peers'

Cause: an upstream that says it is healthy but fails every request within 2 ms looks fast and idle, so that the choice of the least busy sends it more than its share. Only the callers' acknowledgements show it: answers that come sooner than requests of the route cost anywhere, and are far shorter.

Requests that hang far longer than the route's times count the same way. Switched on by Feature.OUTLIER_EJECTION.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -20,7 +20,7 @@
 from egrethook.logs import PartLog
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
-from egrethook.upstreams.requests import RequestListener
+from egrethook.upstreams.requests import RequestListener, StallListener
 from egrethook.upstreams.selection import Opening, UpstreamSelector
 from egrethook.upstreams.upstream import Upstream
 
@@ -84,6 +84,8 @@
         Detects upstreams that do not answer openings.
     listeners : sequence of RequestListener
         Learn from the requests that are answered.
+    stall_listeners : sequence of StallListener
+        Learn from the requests that are sent again.
     """
 
     def __init__(
@@ -95,8 +97,10 @@
         limit: FlowLimit,
         health: PassiveHealth,
         listeners: Sequence[RequestListener] = (),
+        stall_listeners: Sequence[StallListener] = (),
     ) -> None:
         self._view = view
+        self._stall_listeners = stall_listeners
         self._listeners = listeners
         self._codec = codec
         self._selector = selector
@@ -403,6 +407,10 @@
         elif flow.is_retransmission(segment, now):
             flow.note_retransmission()
             self._health.note_stalled_request(flow.tried[0], flow.sent_at, now)
+            for stall_listener in self._stall_listeners:
+                stall_listener.request_stalled(
+                    flow.tried[0], flow.route, flow.sent_at, now
+                )
         if not flow.is_busy:
             self._queues.serve(flow.service, now)
 
--- a/egrethook/emulator/flow_peers.py
+++ b/egrethook/emulator/flow_peers.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from egrethook.callers.segments import IPv4Endpoint
 from egrethook.discovery.records import UpstreamRecord
+from egrethook.emulator.flow_records import TARGET
 
 
 @dataclass
@@ -19,6 +21,24 @@
     port: int
 
 
+@dataclass(frozen=True)
+class AnswerFault:
+    """A fault of an upstream that answers openings but fails requests.
+
+    Parameters
+    ----------
+    share : float
+        Share of the requests that fail.
+    hangs : bool
+        Whether they get no answer, rather than a short one after `service_s`.
+    """
+
+    share: float = 1.0
+    hangs: bool = False
+    service_s: float = 0.002
+    answer_bytes: int = 150
+
+
 @dataclass
 class SimulatedUpstream:
     """An upstream with a few slots and a bounded queue that sheds when it is full.
@@ -39,6 +59,8 @@
         Requests refused because the queue was full.
     openings : int
         Openings received.
+    fault : AnswerFault, optional
+        How it fails requests.
     """
 
     record: UpstreamRecord
@@ -50,6 +72,7 @@
     started: int = 0
     shed: int = 0
     openings: int = 0
+    fault: AnswerFault | None = None
 
 
 @dataclass
@@ -77,6 +100,12 @@
         Whether an upstream has received the request on the current flow.
     flow_reset : bool
         Whether the flow was reset after the answer.
+    target : IPv4Endpoint
+        Address of the route.
+    retransmits : bool
+        Whether the caller repeats its request until it is answered.
+    faults : list of str
+        The upstreams that failed this request.
     """
 
     number: int
@@ -96,6 +125,10 @@
     flow_reset: bool = False
     answered_at: float | None = None
     failed: bool = False
+    target: IPv4Endpoint = TARGET
+    answer_bytes: int = 1_000
+    retransmits: bool = False
+    faults: list[str] = field(default_factory=list)
 
     @property
     def finished(self) -> bool:
--- a/egrethook/emulator/flow_records.py
+++ b/egrethook/emulator/flow_records.py
@@ -4,6 +4,8 @@
 
 from zlib import crc32
 
+from msgspec import structs
+
 from egrethook.callers.segments import IPv4Endpoint
 from egrethook.discovery.records import (
     Route,
@@ -21,6 +23,9 @@
 TARGET: IPv4Endpoint = (0xC6120001, 8443)
 """Address of the route: 198.18.0.1, port 8443."""
 
+NON_IDEMPOTENT_TARGET: IPv4Endpoint = (0xC6120001, 9443)
+"""Address of a route whose requests must not run twice."""
+
 SLOTS = 2
 """Default number of slots of an upstream."""
 
@@ -116,7 +121,7 @@
 def route_table(
     version: int = 1, objective_s: float = 0.15, idempotent: bool = True
 ) -> RouteTable:
-    """Return a route table with one route to one service."""
+    """Return a table with one service, and a second route that is not idempotent."""
     route = Route(
         name="route",
         address=TARGET,
@@ -126,4 +131,7 @@
         objective_s=objective_s,
         idempotent=idempotent,
     )
-    return RouteTable(version, (route,), {})
+    other = structs.replace(
+        route, name="once", address=NON_IDEMPOTENT_TARGET, idempotent=False
+    )
+    return RouteTable(version, (route, other), {})
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -24,10 +24,16 @@
     UpstreamRecord,
 )
 from egrethook.discovery.view import ForwardingView
-from egrethook.emulator.flow_peers import Call, SimulatedUpstream, UpstreamRequest
+from egrethook.emulator.flow_peers import (
+    AnswerFault,
+    Call,
+    SimulatedUpstream,
+    UpstreamRequest,
+)
 from egrethook.emulator.flow_records import (
     CALLER_HOST,
     SLOTS,
+    TARGET,
     InMemoryDecoder,
     NoColdLimit,
     caller_packet,
@@ -47,6 +53,7 @@
 )
 from egrethook.upstreams.flow_limit import AimdFlowLimit, FlowLimit
 from egrethook.upstreams.health import HealthObservation, PassiveHealth
+from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.upstream import Upstream
 
 TICK_INTERVAL_S = 0.01
@@ -57,7 +64,6 @@
 CALLER_COUNT = 80
 REQUEST_BYTES = 168
 REQUEST_RETRANSMISSION_OFFSETS_S = (0.2, 0.6, 1.4)
-ANSWER_BYTES = 1_000
 
 
 class _SimulatedPacketPort:
@@ -91,6 +97,8 @@
     view: ForwardingView
     dispatcher: FlowDispatcher
     health: PassiveHealth
+    outliers: OutlierDetector | None = None
+    name: str = ""
     up: bool = True
     paused: bool = False
     waiting_packets: list[bytes] = field(default_factory=list)
@@ -166,8 +174,9 @@
     def _new_vm(self, domain: str) -> SimulatedVm:
         view = ForwardingView(self.decoder, flow_life_s=60.0)
         limit = self._new_limit()
-        dispatcher, health, _ = build_data_path(
-            f"vm-{next(self._vm_numbers)}",
+        name = f"vm-{next(self._vm_numbers)}"
+        dispatcher, health, _, outliers = build_data_path(
+            name,
             domain,
             self._features,
             view,
@@ -177,11 +186,28 @@
             NoColdLimit(),
         )
         dispatcher.view_is_fresh = True
-        vm = SimulatedVm(domain, view, dispatcher, health)
+        vm = SimulatedVm(domain, view, dispatcher, health, outliers, name)
         if self._shares_health:
             health.set_listener(partial(self._share_health, vm))
+            if outliers is not None:
+                outliers.set_listener(partial(self._share_outlier, vm))
         return vm
 
+    def _share_outlier(
+        self, sender: SimulatedVm, upstream: Upstream, is_outlier: bool
+    ) -> None:
+        """Report what a balancer sees of an upstream's answers to its domain."""
+
+        def arrive() -> None:
+            for vm in self.vms:
+                known = vm.view.upstreams.get(upstream.name)
+                if vm is sender or vm.domain != sender.domain or known is None:
+                    continue
+                if vm.outliers is not None:
+                    vm.outliers.note_report(known, is_outlier, sender.name, self.now)
+
+        self.after(INTRA_DOMAIN_DELAY_S, arrive)
+
     def _share_health(
         self, sender: SimulatedVm, upstream: Upstream, observation: HealthObservation
     ) -> None:
@@ -265,9 +291,12 @@
         deadline_s: float = 2.0,
         service_time_s: float | None = None,
         think_time_s: Callable[[], float] | None = None,
+        **fields: object,
     ) -> Call:
-        """Start a request through one balancer."""
+        """Start a request through one balancer; `fields` override those of `Call`."""
         call = self._new_call(vm, deadline_s, service_time_s, think_time_s)
+        for name, value in fields.items():
+            setattr(call, name, value)
         self._start_attempt(call)
         return call
 
@@ -322,7 +351,9 @@
 
     def _send_opening(self, call: Call, port: int, copy: int) -> None:
         if call.port == port and not call.token and not call.finished:
-            opening = caller_packet(port, SYN, src=call.host, acknowledged=copy)
+            opening = caller_packet(
+                port, SYN, call.target, src=call.host, acknowledged=copy
+            )
             self._send_to_vm(call, opening)
 
     def _on_opening_timeout(self, call: Call, port: int) -> None:
@@ -361,6 +392,7 @@
         packet = caller_packet(
             call.port,
             flags,
+            call.target,
             src=call.host,
             sequence=call.sent,
             acknowledged=call.received,
@@ -371,10 +403,10 @@
         self._send_to_vm(call, packet)
 
     def _send_request(self, call: Call) -> None:
-        """Send a request; callers that keep flows open also retransmit it."""
+        """Send a request; callers with open flows, or told to, retransmit it."""
         call.reached_upstream = False
         self._send(call, ACK, bytes(REQUEST_BYTES))
-        if call.think_time_s is None:
+        if call.think_time_s is None and not call.retransmits:
             return
         for delay_s in REQUEST_RETRANSMISSION_OFFSETS_S:
             self.after(delay_s, partial(self._retransmit, call, call.port))
@@ -438,7 +470,10 @@
     def _on_request(
         self, upstream: SimulatedUpstream, request: UpstreamRequest
     ) -> None:
-        if upstream.busy_slots < upstream.record.slots:
+        fault = upstream.fault
+        if fault is not None and self.rng.random() < fault.share:
+            self._fail_request(upstream, fault, request)
+        elif upstream.busy_slots < upstream.record.slots:
             self._start_request(upstream, request)
         elif len(upstream.queue) < UPSTREAM_QUEUE_LIMIT:
             upstream.queue.append(request)
@@ -446,6 +481,26 @@
             upstream.shed += 1
             self.after(self.caller_delay_s, lambda: self._on_shed(request))
 
+    def _fail_request(
+        self, upstream: SimulatedUpstream, fault: AnswerFault, request: UpstreamRequest
+    ) -> None:
+        """Answer a request with a short error, or not at all."""
+        call = request.call
+        call.faults.append(upstream.record.name)
+
+        def on_error() -> None:
+            if call.port != request.port or call.finished:
+                return
+            call.received += fault.answer_bytes
+            self._send(call, FIN | ACK)
+            if call.target == TARGET:
+                self._retry(call)
+            else:
+                call.failed = True
+
+        if not fault.hangs:
+            self.after(fault.service_s + self.caller_delay_s, on_error)
+
     def _on_shed(self, request: UpstreamRequest) -> None:
         call = request.call
         if call.port == request.port and not call.finished:
@@ -474,7 +529,7 @@
         if call.port != request.port or call.finished:
             return
         call.answered_at = self.now
-        call.received += ANSWER_BYTES
+        call.received += call.answer_bytes
         if call.think_time_s is None:
             self._calls_by_port.pop(call.port, None)
             self._send(call, FIN | ACK)
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -15,7 +15,8 @@
 from egrethook.upstreams.cold_limit import ColdAdmission
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
-from egrethook.upstreams.requests import RequestListener
+from egrethook.upstreams.outliers import OutlierDetector, OutlierSelector
+from egrethook.upstreams.requests import RequestListener, StallListener
 from egrethook.upstreams.selection import (
     CandidateFilter,
     LeastFlowsSelector,
@@ -24,11 +25,15 @@
 
 
 class DataPath(NamedTuple):
-    """The parts that decide where the flows of callers go."""
+    """The parts that decide where the flows of callers go.
+
+    `outliers` is None if that part is switched off.
+    """
 
     dispatcher: FlowDispatcher
     health: PassiveHealth
     selector: UpstreamSelector
+    outliers: OutlierDetector | None
 
 
 def build_data_path(
@@ -63,6 +68,17 @@
     health = PassiveHealth(name)
     filters: list[CandidateFilter] = []
     listeners: list[RequestListener] = []
-    selector = LeastFlowsSelector(domain, limit, cold_admission, filters)
-    dispatcher = FlowDispatcher(view, codec, port, selector, limit, health, listeners)
-    return DataPath(dispatcher, health, selector)
+    stall_listeners: list[StallListener] = []
+    selector: UpstreamSelector = LeastFlowsSelector(
+        domain, limit, cold_admission, filters
+    )
+    outliers = None
+    if Feature.OUTLIER_EJECTION in features:
+        outliers = OutlierDetector(name, lambda service: len(view.candidates(service)))
+        listeners.append(outliers)
+        stall_listeners.append(outliers)
+        selector = OutlierSelector(selector, outliers)
+    dispatcher = FlowDispatcher(
+        view, codec, port, selector, limit, health, listeners, stall_listeners
+    )
+    return DataPath(dispatcher, health, selector, outliers)
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -26,6 +26,7 @@
 from egrethook.upstreams.cold_limit import FleetColdLimit
 from egrethook.upstreams.flow_limit import AimdFlowLimit
 from egrethook.upstreams.health import HealthListener, HealthObservation
+from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.reachability import HeardDomains, Reachability
 
 _LOG = PartLog("forwarder")
@@ -118,6 +119,7 @@
         )
         self._health = data_path.health
         self._dispatcher = data_path.dispatcher
+        self._outliers = data_path.outliers
         self._heard_domains: Callable[[], HeardDomains] = HeardDomains
         self._reachability = Reachability(
             settings.failure_domain,
@@ -161,6 +163,11 @@
         """Assigns flows to upstreams and forwards their packets."""
         return self._dispatcher
 
+    @property
+    def outliers(self) -> OutlierDetector | None:
+        """Finds upstreams that fail requests; None if switched off."""
+        return self._outliers
+
     @property
     def leave_requested(self) -> bool:
         """Whether this process has been told to leave."""
@@ -239,6 +246,13 @@
         if upstream is not None:
             self._health.note_report(upstream, observation, self._clock.now())
 
+    def apply_outlier_report(self, token: int, is_outlier: bool, source: str) -> None:
+        """Apply what another balancer has seen of an upstream's answers."""
+        upstream = self._view.upstreams.by_token.get(token)
+        if upstream is not None and self._outliers is not None:
+            now = self._clock.now()
+            self._outliers.note_report(upstream, is_outlier, source, now)
+
     def _cold_limits(self) -> Mapping[str, ColdLimit]:
         table = self._view.table
         return table.cold_limits if table else {}
--- a/egrethook/forwarding/metrics.py
+++ b/egrethook/forwarding/metrics.py
@@ -46,6 +46,7 @@
         """Yield all metrics."""
         yield from self._flow_metrics()
         yield from self._view_metrics()
+        yield from self._outlier_metrics()
         for name, value in self._process_counts().items():
             yield CounterMetricFamily(f"egrethook_{name}", _HELP[name], value=value)
 
@@ -101,6 +102,24 @@
         ):
             yield GaugeMetricFamily(f"egrethook_{name}", text, value=value)
 
+    def _outlier_metrics(self) -> Iterator[Metric]:
+        outliers = self._forwarder.outliers
+        if outliers is None:
+            return
+        yield GaugeMetricFamily(
+            "egrethook_upstreams_outliers",
+            "Upstreams that get trials only, since their answers differ.",
+            value=outliers.left_out,
+        )
+        counts = outliers.counts
+        for name, text, value in (
+            ("suspicious", "Requests failed at once or hanging.", counts.suspicious),
+            ("ejections", "Times an upstream was left out.", counts.ejections),
+            ("trials", "Openings sent to such an upstream.", counts.trials),
+            ("reports_held_back", "Reports not sent.", counts.reports_held_back),
+        ):
+            yield CounterMetricFamily(f"egrethook_outlier_{name}", text, value=value)
+
 
 def _by_reason(name: str, text: str, counts: dict[str, int]) -> Metric:
     family = CounterMetricFamily(f"egrethook_{name}", text, labels=["reason"])
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -10,7 +10,7 @@
 
 from egrethook.addresses import Address
 from egrethook.balancers.gossip import Gossip
-from egrethook.balancers.gossip_codec import MemberInfo
+from egrethook.balancers.gossip_codec import MemberInfo, OutlierReport
 from egrethook.balancers.gossip_members import GossipMembers
 from egrethook.clock import SuspensionDetector
 from egrethook.datagrams import bind_when_free
@@ -25,6 +25,7 @@
 from egrethook.operators.probes import ProbeAnswer, ProbeServer
 from egrethook.signals import SignalReceiver
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM
+from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.reachability import HeardDomains
 
 DUE_WORK_INTERVAL_S = 0.01
@@ -102,6 +103,8 @@
         forwarder.set_health_listener(
             lambda upstream, verdict: self._gossip.report(upstream.token, verdict)
         )
+        if forwarder.outliers is not None:
+            self._connect_outliers(forwarder.outliers)
         forwarder.set_cold_sender_check(self._is_cold_sender)
         forwarder.set_heard_domains(self._heard_domains)
         self._follower = RegistryFollower(
@@ -110,6 +113,20 @@
         self._suspension_detector = SuspensionDetector()
         self._reload_errors = ErrorBoundary(_LOG, "settings reload")
 
+    def _connect_outliers(self, outliers: OutlierDetector) -> None:
+        """Exchange what is seen of upstreams with the other balancers."""
+        outliers.set_listener(
+            lambda upstream, is_outlier: self._gossip.send_to_domain(
+                OutlierReport(upstream.token, is_outlier)
+            )
+        )
+        self._gossip.set_handler(
+            OutlierReport,
+            lambda report, source: self._forwarder.apply_outlier_report(
+                report.token, report.is_outlier, str(source)
+            ),
+        )
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave.
 
--- a/egrethook/upstreams/requests.py
+++ b/egrethook/upstreams/requests.py
@@ -42,3 +42,13 @@
     def request_answered(self, outcome: RequestOutcome, now: float) -> None:
         """Handle the first part of an answer."""
         ...
+
+
+class StallListener(Protocol):
+    """Learns from requests that their callers have sent again."""
+
+    def request_stalled(
+        self, upstream: Upstream, route: Route, sent_at: float, now: float
+    ) -> None:
+        """Handle a request that is unanswered, given when it was first sent."""
+        ...
