--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -28,6 +28,7 @@
     Delta,
     Digest,
     MemberInfo,
+    OutlierReport,
     UpstreamReport,
     decode,
     encode,
@@ -238,6 +239,25 @@
     assert decode(encode(report)) == report
 
 
+def test_outlier_report_reaches_the_domain_with_its_source():
+    """Guards against reports that count as another balancer's."""
+    fleet = Fleet(3)
+    fleet.add(4, domain="zone-b")
+    fleet.run_rounds(4)
+    received = []
+    for address, gossip in fleet.network.gossips.items():
+        gossip.set_handler(
+            OutlierReport,
+            lambda report, source, to=address: received.append((to, report, source)),
+        )
+    report = OutlierReport(7, True)
+    sender = Address("10.0.0.1", 7000)
+    fleet.network.gossips[sender].send_to_domain(report)
+    fleet.network.deliver()
+    others = [Address(f"10.0.0.{number}", 7000) for number in (2, 3)]
+    assert sorted(received) == [(to, report, sender) for to in others]
+
+
 def test_change_read_by_one_member_reaches_every_member():
     fleet = Fleet(30)
     fleet.run_rounds(12)
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -8,7 +8,20 @@
 
 import pytest
 
-from egrethook.emulator.flow_records import SERVICE, route_table, upstream_record
+from egrethook.addresses import Address
+from egrethook.datagrams import DatagramSocket
+from egrethook.discovery.records import ItemKind, PublishedItem
+from egrethook.emulator.flow_records import (
+    SERVICE,
+    InMemoryDecoder,
+    route_table,
+    upstream_record,
+)
+from egrethook.forwarding.features import Feature
+from egrethook.forwarding.forwarder import Forwarder
+from egrethook.forwarding.metrics import render_metrics
+from egrethook.forwarding.settings import ForwarderSettings
+from egrethook.platform.packet_header import PacketHeader
 from egrethook.upstreams import ejections, outliers, route_answers
 from egrethook.upstreams.ejections import Ejection, Evidence
 from egrethook.upstreams.outliers import OutlierDetector, OutlierSelector
@@ -312,3 +325,49 @@
         detector.request_stalled(upstreams[0], IDEMPOTENT, sent_at, sent_at + 1.4)
     assert detector.counts.suspicious == 2, "each request counts once"
     assert detector.left_out == 1
+
+
+# In a process -------------------------------------------------------------------
+
+
+@pytest.fixture
+def forwarder(request):
+    packets = DatagramSocket(Address("127.0.0.1", 0))
+    settings = ForwarderSettings(
+        name="vm-1",
+        failure_domain="zone",
+        packets=str(packets.address),
+        peers="127.0.0.1:1",
+        probes="127.0.0.1:1",
+        registry="127.0.0.1:1",
+        features=request.param,
+    )
+    decoder = InMemoryDecoder()
+    with Forwarder(settings, PacketHeader(), decoder, packets) as forwarder:
+        records = [upstream_record(f"up-{number}", "zone") for number in range(4)]
+        items = [
+            PublishedItem(ItemKind.UPSTREAM, one.name, 1, decoder.encode(one))
+            for one in records
+        ]
+        forwarder.view.update(items, 0.0)
+        yield forwarder
+
+
+@pytest.mark.parametrize("forwarder", [[Feature.OUTLIER_EJECTION]], indirect=True)
+def test_reports_of_peers_are_applied_and_shown_as_metrics(forwarder):
+    token = forwarder.view.upstreams.get("up-0").token
+    for peer in ("peer-1", "peer-2", "peer-3"):
+        forwarder.apply_outlier_report(token, True, peer)
+        forwarder.apply_outlier_report(12345, True, peer)
+    assert forwarder.outliers.left_out == 1
+    metrics = render_metrics(forwarder, dict)
+    assert b"egrethook_upstreams_outliers 1.0" in metrics
+    assert b"egrethook_outlier_ejections_total 1.0" in metrics
+
+
+@pytest.mark.parametrize("forwarder", [[]], indirect=True)
+def test_switched_off_a_report_changes_nothing(forwarder):
+    token = forwarder.view.upstreams.get("up-0").token
+    forwarder.apply_outlier_report(token, True, "peer")
+    assert forwarder.outliers is None
+    assert b"outlier" not in render_metrics(forwarder, dict)
