--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -15,7 +15,8 @@
 from egrethook.upstreams.cold_limit import ColdAdmission
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
-from egrethook.upstreams.outliers import OutlierDetector, OutlierSelector
+from egrethook.upstreams.outlier_selection import OutlierSelector
+from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.requests import RequestListener, StallListener
 from egrethook.upstreams.selection import (
     CandidateFilter,
--- a/egrethook/upstreams/outliers.py
+++ b/egrethook/upstreams/outliers.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from msgspec import Struct
 
@@ -31,7 +31,7 @@
     RequestSample,
     RouteAnswers,
 )
-from egrethook.upstreams.selection import Opening, UpstreamSelector
+from egrethook.upstreams.selection import Opening
 from egrethook.upstreams.upstream import Upstream
 
 MAX_LEFT_OUT_SHARE = 0.5
@@ -89,23 +89,6 @@
     reports_held_back: int = 0
 
 
-class Admitted(NamedTuple):
-    """The candidates that may get ordinary openings.
-
-    Parameters
-    ----------
-    version : int
-        The version of the detector's decisions.
-    valid_until : float
-        When the first pause among them ends, in seconds.
-    """
-
-    candidates: Sequence[Upstream]
-    upstreams: Sequence[Upstream]
-    version: int
-    valid_until: float
-
-
 class OutlierDetector:
     """Finds upstreams whose answers differ from those of their peers.
 
@@ -383,12 +366,10 @@
             return False
         return self._paused_until.get(token, float("-inf")) <= now
 
-    def admitted(self, candidates: Sequence[Upstream], now: float) -> Admitted:
-        """Return the upstreams that may get ordinary openings."""
-        upstreams = [one for one in candidates if self.admits(one, now)]
+    def pause_ends_at(self, now: float) -> float:
+        """Return when the first pause of an upstream ends, in seconds."""
         pauses = [until for until in self._paused_until.values() if until > now]
-        valid_until = min(pauses, default=float("inf"))
-        return Admitted(candidates, upstreams, self._version, valid_until)
+        return min(pauses, default=float("inf"))
 
     def trial_for(
         self, candidates: Sequence[Upstream], opening: Opening
@@ -428,57 +409,6 @@
         _drop_before(self._stall_seen, now - RELAPSE_S)
 
 
-class OutlierSelector:
-    """Keeps openings from outliers but for trials; another selector does the rest.
-
-    Parameters
-    ----------
-    selector : UpstreamSelector
-        Chooses among the other upstreams.
-    outliers : OutlierDetector
-        Knows which upstreams are left out.
-    """
-
-    def __init__(self, selector: UpstreamSelector, outliers: OutlierDetector) -> None:
-        self._selector = selector
-        self._outliers = outliers
-        self._admitted: dict[str, Admitted] = {}
-
-    def choose(
-        self, candidates: Sequence[Upstream], opening: Opening
-    ) -> Upstream | None:
-        """Return the best candidate with room, or None if none has room.
-
-        If all that are left were tried before, outliers are chosen as well.
-        """
-        outliers = self._outliers
-        if outliers.is_idle or not candidates:
-            return self._selector.choose(candidates, opening)
-        trial = outliers.trial_for(candidates, opening)
-        if trial is not None:
-            return trial
-        admitted = self._admitted_of(candidates, opening.now)
-        if all(one in opening.tried for one in admitted):
-            admitted = candidates
-        return self._selector.choose(admitted, opening)
-
-    def _admitted_of(
-        self, candidates: Sequence[Upstream], now: float
-    ) -> Sequence[Upstream]:
-        """Return the admitted ones, cached for each service while nothing changes."""
-        service = candidates[0].service
-        known = self._admitted.get(service)
-        if (
-            known is None
-            or known.candidates is not candidates
-            or known.version != self._outliers.version
-            or now >= known.valid_until
-        ):
-            known = self._outliers.admitted(candidates, now)
-            self._admitted[service] = known
-        return known.upstreams
-
-
 def _drop_before(times: dict[int, float], limit: float) -> None:
     """Remove the entries with a time before a limit."""
     for token, time in list(times.items()):
--- a/tests/test_outlier_load.py
+++ b/tests/test_outlier_load.py
@@ -12,10 +12,12 @@
 
 import pytest
 
+from egrethook.emulator import flow_world
 from egrethook.emulator.flow_peers import AnswerFault
 from egrethook.emulator.flow_records import NON_IDEMPOTENT_TARGET, TARGET
 from egrethook.emulator.flow_world import FlowWorld
 from egrethook.forwarding.features import Feature
+from egrethook.platform.packet_header import ACK, FIN
 from egrethook.upstreams.outliers import OutlierDetector
 
 DOMAINS = ("zone-a", "zone-b", "zone-c")
@@ -31,13 +33,21 @@
     return time_s, round(600 * min(5.0, rng.paretovariate(1.2)))
 
 
-def play(seed, fault=None, on=True, end=11.5, request=ordinary_request, **call_fields):
+def play(
+    seed,
+    fault=None,
+    on=True,
+    end=11.5,
+    request=ordinary_request,
+    slots=4,
+    **call_fields,
+):
     """Offer load until `end` while the failing upstreams have a fault, if any."""
     features = [Feature.OUTLIER_EJECTION] if on else []
     vm_domains = tuple(DOMAINS[number % 3] for number in range(59))
     world = FlowWorld(seed, vm_domains, inter_domain_delay_s=0.002, features=features)
     for number in range(60):
-        world.add_upstream(f"up-{number}", DOMAINS[number % 3], slots=4)
+        world.add_upstream(f"up-{number}", DOMAINS[number % 3], slots=slots)
     for vm in world.vms:
         world.publish(vm)
     if fault is not None:
@@ -232,3 +242,35 @@
     world.publish(world.vms[0])
     world.run(7.5)
     assert lost(world) - before <= len(FAILING)
+
+
+def test_full_upstreams_that_refuse_with_short_answers_stay_in_use(monkeypatch):
+    """A burst fills all upstreams; their refusals look like requests that fail."""
+
+    def refuse(world, request):
+        call = request.call
+        if call.port == request.port and not call.finished:
+            call.received += 150
+            world._send(call, FIN | ACK)
+            world._retry(call)
+
+    def play_burst(seed, on):
+        world = play(seed, None, on=on, end=1.0, slots=2)
+        offer_load(world, 3.0, ordinary_request, {})
+        for _ in range(3):
+            offer_load(world, 2.0, ordinary_request, {})
+        most = 0
+        while world.now < 6.0:
+            world.run(world.now + 0.1)
+            most = max(most, left_out(world) if on else 0)
+        return lost(world), most / (len(world.vms) * len(world.upstreams))
+
+    monkeypatch.setattr(FlowWorld, "_on_shed", refuse)
+    monkeypatch.setattr(flow_world, "UPSTREAM_QUEUE_LIMIT", 2)
+    with_part = [play_burst(seed, on=True) for seed in SEEDS]
+    without = [play_burst(seed, on=False) for seed in SEEDS]
+    assert sum(losses for losses, _ in without) > 100
+    assert sum(losses for losses, _ in with_part) <= 1.1 * sum(
+        losses for losses, _ in without
+    )
+    assert max(share for _, share in with_part) < 0.1
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -24,7 +24,8 @@
 from egrethook.platform.packet_header import PacketHeader
 from egrethook.upstreams import ejections, outliers, route_answers
 from egrethook.upstreams.ejections import Ejection, Evidence
-from egrethook.upstreams.outliers import OutlierDetector, OutlierSelector
+from egrethook.upstreams.outlier_selection import OutlierSelector
+from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.requests import RequestOutcome
 from egrethook.upstreams.route_answers import DEFAULT_WEIGHTS, evidence_weights
 from egrethook.upstreams.selection import Opening
