--- a/egrethook/upstreams/outliers.py
+++ b/egrethook/upstreams/outliers.py
@@ -308,7 +308,10 @@
 
         Upstreams that are left out return as soon as their trials look like the rest.
         """
-        for key in [key for key in self._answers if key[1] == service]:
+        known = [key for key in self._answers if key[1] == service]
+        if not known:
+            return
+        for key in known:
             del self._answers[key]
         _LOG.info(
             "most upstreams of a service answer alike; no more of them are left out.",
--- a/tests/test_outlier_load.py
+++ b/tests/test_outlier_load.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from functools import cache
+from functools import cache, partial
 
 import pytest
 
@@ -244,6 +244,18 @@
     assert lost(world) - before <= len(FAILING)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_paused_balancer_holds_no_upstream_for_hanging(seed):
+    """Requests and their repetitions were queued at it, not at the upstreams."""
+    world = play(seed, None, end=2.0)
+    offer_load(world, 4.0, ordinary_request, {"retransmits": True})
+    for vm in world.vms[:12]:
+        world.after(1.0, partial(world.pause, vm, 1.1))
+    world.run(7.0)
+    assert sum(vm.outliers.counts.suspicious for vm in world.vms) < 5
+    assert left_out(world) == 0
+
+
 def test_full_upstreams_that_refuse_with_short_answers_stay_in_use(monkeypatch):
     """A burst fills all upstreams; their refusals look like requests that fail."""
 
