Test that cheap work takes a free slot and costly work the fast upstream

The comparison does so because waits are absolute and service times grow with the cost of the route; nothing guarded it.

--- a/tests/test_cost_aware_placement.py
+++ b/tests/test_cost_aware_placement.py
@@ -11,7 +11,12 @@
 import pytest
 
 from egrethook.callers.forwarded_flow import ForwardedFlow
-from egrethook.emulator.flow_records import FixedFlowLimit, route_table, upstream_record
+from egrethook.emulator.flow_records import (
+    FixedFlowLimit,
+    NoColdLimit,
+    route_table,
+    upstream_record,
+)
 from egrethook.emulator.flow_world import FlowWorld
 from egrethook.forwarding.data_path import CostAwarePlacement
 from egrethook.forwarding.features import Feature
@@ -332,8 +337,8 @@
             terms,
         )
 
-    def opening(self, tried=(), avoided=()):
-        return Opening(ROUTE, tried, avoided, True, self.now)
+    def opening(self, tried=(), avoided=(), route=ROUTE):
+        return Opening(route, tried, avoided, True, self.now)
 
     def estimate(self, one, **fields):
         estimates = self.cost.estimates(self.candidates, self.opening(**fields))
@@ -341,10 +346,7 @@
 
     def choose(self, **fields):
         limit = FixedFlowLimit(9)
-        cold = type("NoLimit", (), {})()
-        cold.admits = lambda *_: True
-        cold.note_sent = lambda *_: None
-        selector = LowestCostSelector("zone-a", limit, cold, self.cost)
+        selector = LowestCostSelector("zone-a", limit, NoColdLimit(), self.cost)
         return selector.choose(self.candidates, self.opening(**fields))
 
 
@@ -366,6 +368,17 @@
         flow_at(busy, placement.now - 0.04)
         assert placement.choose() is busy
 
+    def test_cheap_work_takes_a_free_slot_and_costly_work_the_fast_upstream(self):
+        fast, slow = upstream("fast", slots=1), upstream("slow", slots=1)
+        placement = Placement(fast, slow, factors=(0.5, 1.5))
+        costs = placement.learning.costs
+        for name, cost_s in (("cheap", 0.01), ("costly", 0.4)):
+            for _ in range(8):
+                costs.request_answered(outcome(fast, cost_s, on=route(name)), 1.0)
+        flow_at(fast, placement.now, on=ROUTE)
+        assert placement.choose(route=route("cheap")) is slow
+        assert placement.choose(route=route("costly")) is fast
+
     def test_upstream_whose_work_passes_the_objective_gets_nothing(self):
         loaded, remote = upstream("loaded"), upstream("remote", "zone-b")
         placement = Placement(loaded, remote, factors=(0.3, 3.0))
