--- a/egrethook/callers/fair_queueing.py
+++ b/egrethook/callers/fair_queueing.py
@@ -36,8 +36,11 @@
 MIN_RETRIES = 4
 """Queued retries of a service that are within the budget in any case."""
 
-RETRY_WINDOW_S = 0.5
-"""Time after a refusal within which an opening counts as its retry, in seconds."""
+RETRY_WINDOW_S = 0.05
+"""Time after a refusal within which an opening counts as its retry, in seconds.
+
+A caller without retries left sends none, and its next request is no retry.
+"""
 
 MAX_REFUSED_CALLERS = 4096
 """Bound on the callers and routes whose refusals are remembered."""
--- a/tests/test_fair_queue_load.py
+++ b/tests/test_fair_queue_load.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from egrethook.callers.fair_queueing import FairQueueing
 from egrethook.emulator.flow_records import CALLER_HOST, add_route
 from egrethook.emulator.flow_world import FlowWorld
 from egrethook.forwarding.features import Feature
@@ -213,3 +214,23 @@
     assert resets["too many wait"] > 0
     started = sum(upstream.started for upstream in world.upstreams.values())
     assert started > 0.85 * capacity_per_s(world) * 4.0
+
+
+def burst_with_retries(seed, features):
+    """Twice the capacity for two seconds, then 70%; refused callers retry at once."""
+    world = new_world(seed, features, vms=1, upstreams=3)
+    offer(world, 2.0 * capacity_per_s(world), 0.0, 2.0)
+    offer(world, 0.7 * capacity_per_s(world), 2.0, 5.0)
+    world.run(8.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_retries_after_a_burst_do_not_make_first_attempts_late(seed, monkeypatch):
+    def on_time_after_burst(world):
+        return timely_share([call for call in world.calls if call.started_at >= 2.5])
+
+    with_budget = on_time_after_burst(burst_with_retries(seed, FAIR))
+    monkeypatch.setattr(FairQueueing, "_exceeds_retry_budget", lambda *_: False)
+    without = on_time_after_burst(burst_with_retries(seed, FAIR))
+    assert with_budget > without
