Don't answer the digest of a member that is taken as outdated

A balancer answers the digest of a member that it does not know.

A digest is now answered only if the sender's record was accepted. The test fails without it (100 messages, where it stops counting) and passes with it.

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -232,8 +232,11 @@
     def _on_digest(self, digest: Digest, source: Address) -> None:
         now = self._clock.now()
         target = digest.sender.address
-        is_new = not self._members.knows(digest.sender)
+        was_known = self._members.knows(digest.sender)
         self._members.merge((digest.sender, *digest.members), now)
+        # A sender whose record is taken as outdated is not answered: it may take this
+        # balancer's record so too, and the answers would never end.
+        is_new = not was_known and self._members.knows(digest.sender)
         own_revision = self._replica.revision
         if digest.asks and digest.revision < own_revision:
             self._send_missing(target, digest.revision, now)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -441,3 +441,23 @@
 def test_negative_revision_is_refused(revision):
     with pytest.raises(BadMessageError):
         decode(encode(Digest(member(1), revision, 0.1, ())))
+
+
+def test_two_members_that_hold_each_others_earlier_incarnation_do_not_answer_forever():
+    """Both restarted soon after their first start and take the other's digest as old.
+
+    A digest that is answered with a digest, again and again, is a storm of messages.
+    """
+    fleet = Fleet(2)
+    for number, other in ((1, 2), (2, 1)):
+        gossip = fleet.network.gossips[Address(f"10.0.0.{number}", 7000)]
+        earlier = member(other, beat=1, incarnation=99)
+        gossip._members.merge([earlier], fleet.clock.now())
+    first = fleet.network.gossips[Address("10.0.0.1", 7000)]
+    first._send(first._digest(fleet.clock.now()), [Address("10.0.0.2", 7000)])
+    delivered = 0
+    while fleet.network.queue and delivered < 100:
+        source, target, data = fleet.network.queue.pop(0)
+        fleet.network.gossips[target]._handle(data, source)
+        delivered += 1
+    assert delivered < 5
