Prefer different upstreams at each balancer

59 balancers with about one request in progress each saw only their own flows and chose the same idle upstreams, since all of them rotate through the candidates from the same start. Each balancer now has a place on a ring of the upstreams, shared by those of its failure domain, and prefers what follows; and each starts its rotation at another place.

Off unless the feature is on.

--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -47,6 +47,7 @@
 )
 from egrethook.upstreams.flow_limit import AimdFlowLimit, FlowLimit
 from egrethook.upstreams.health import HealthObservation, PassiveHealth
+from egrethook.upstreams.subsets import PreferredSubsets
 from egrethook.upstreams.upstream import Upstream
 
 TICK_INTERVAL_S = 0.01
@@ -93,6 +94,7 @@
     health: PassiveHealth
     up: bool = True
     paused: bool = False
+    subsets: PreferredSubsets | None = None
     waiting_packets: list[bytes] = field(default_factory=list)
 
 
@@ -119,6 +121,8 @@
         Share of the packets from callers that get lost.
     features : collection of Feature
         The optional parts of the balancers that are switched on.
+    objective_s : float
+        The latency objective of the route, in seconds.
 
     Attributes
     ----------
@@ -138,6 +142,7 @@
         shares_health: bool = True,
         loss_share: float = 0.0,
         features: Collection[Feature] = (),
+        objective_s: float = 0.15,
     ) -> None:
         self.rng = random.Random(seed)
         self.caller_delay_s = caller_delay_s
@@ -146,6 +151,7 @@
         self._shares_health = shares_health
         self._loss_share = loss_share
         self._features = features
+        self._objective_s = objective_s
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
@@ -166,7 +172,7 @@
     def _new_vm(self, domain: str) -> SimulatedVm:
         view = ForwardingView(self.decoder, flow_life_s=60.0)
         limit = self._new_limit()
-        dispatcher, health, _ = build_data_path(
+        data_path = build_data_path(
             f"vm-{next(self._vm_numbers)}",
             domain,
             self._features,
@@ -176,8 +182,11 @@
             limit,
             NoColdLimit(),
         )
-        dispatcher.view_is_fresh = True
-        vm = SimulatedVm(domain, view, dispatcher, health)
+        health = data_path.health
+        data_path.dispatcher.view_is_fresh = True
+        vm = SimulatedVm(
+            domain, view, data_path.dispatcher, health, subsets=data_path.subsets
+        )
         if self._shares_health:
             health.set_listener(partial(self._share_health, vm))
         return vm
@@ -207,9 +216,8 @@
 
     def publish(self, vm: SimulatedVm, revision: int = 1) -> None:
         """Publish the configuration and all upstreams to a balancer."""
-        items = [
-            PublishedItem(ItemKind.ROUTES, "", revision, self._encode(route_table()))
-        ]
+        table = self._encode(route_table(objective_s=self._objective_s))
+        items = [PublishedItem(ItemKind.ROUTES, "", revision, table)]
         for upstream in self.upstreams.values():
             value = self._encode(upstream.record)
             name = upstream.record.name
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Collection
 from typing import NamedTuple
+from zlib import crc32
 
 from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.callers.segments import PacketPort, SegmentCodec
@@ -21,14 +22,26 @@
     LeastFlowsSelector,
     UpstreamSelector,
 )
+from egrethook.upstreams.speeds import SpeedTable
+from egrethook.upstreams.subsets import PreferredSubsets
 
 
 class DataPath(NamedTuple):
-    """The parts that decide where the flows of callers go."""
+    """The parts that decide where the flows of callers go.
+
+    Parameters
+    ----------
+    subsets : PreferredSubsets or None
+        What this balancer prefers among the upstreams, if that is switched on.
+    speeds : SpeedTable or None
+        The estimates that balancers exchange, if that is switched on.
+    """
 
     dispatcher: FlowDispatcher
     health: PassiveHealth
     selector: UpstreamSelector
+    subsets: PreferredSubsets | None
+    speeds: SpeedTable | None
 
 
 def build_data_path(
@@ -63,6 +76,14 @@
     health = PassiveHealth(name)
     filters: list[CandidateFilter] = []
     listeners: list[RequestListener] = []
-    selector = LeastFlowsSelector(domain, limit, cold_admission, filters)
+    subsets = None
+    speeds: SpeedTable | None = None
+    first_round = 0
+    if Feature.SHARED_SPEEDS in features:
+        subsets = PreferredSubsets(domain, view.accepts_flows)
+        first_round = crc32(name.encode())
+    selector = LeastFlowsSelector(
+        domain, limit, cold_admission, filters, subsets, first_round
+    )
     dispatcher = FlowDispatcher(view, codec, port, selector, limit, health, listeners)
-    return DataPath(dispatcher, health, selector)
+    return DataPath(dispatcher, health, selector, subsets, speeds)
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import _socket as socket
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from types import TracebackType
 from typing import Protocol, Self
 
@@ -27,6 +27,8 @@
 from egrethook.upstreams.flow_limit import AimdFlowLimit
 from egrethook.upstreams.health import HealthListener, HealthObservation
 from egrethook.upstreams.reachability import HeardDomains, Reachability
+from egrethook.upstreams.speeds import SpeedTable
+from egrethook.upstreams.subsets import FleetMember, PreferredSubsets
 
 _LOG = PartLog("forwarder")
 
@@ -118,6 +120,8 @@
         )
         self._health = data_path.health
         self._dispatcher = data_path.dispatcher
+        self._subsets = data_path.subsets
+        self._speeds = data_path.speeds
         self._heard_domains: Callable[[], HeardDomains] = HeardDomains
         self._reachability = Reachability(
             settings.failure_domain,
@@ -229,6 +233,31 @@
         """Set what returns the failure domains whose balancers are heard."""
         self._heard_domains = heard_domains
 
+    @property
+    def subsets(self) -> PreferredSubsets | None:
+        """What this balancer prefers among the upstreams, if that is switched on."""
+        return self._subsets
+
+    @property
+    def speeds(self) -> SpeedTable | None:
+        """The estimates that balancers exchange, if that is switched on."""
+        return self._speeds
+
+    def upstream_name(self, token: int) -> str:
+        """Return the name of the upstream with a flow token, for logs."""
+        upstream = self._view.upstreams.by_token.get(token)
+        return upstream.name if upstream else str(token)
+
+    def set_live_members(self, own_name: str, others: Iterable[FleetMember]) -> None:
+        """Set the live balancers, by names that are the same at all of them."""
+        if self._subsets is None:
+            return
+        if self._subsets.set_members(own_name, others):
+            _LOG.info(
+                "preferred upstreams follow the live balancers.",
+                balancers=self._subsets.members,
+            )
+
     def set_health_listener(self, listener: HealthListener) -> None:
         """Set the listener for this process's health observations of upstreams."""
         self._health.set_listener(listener)
@@ -256,6 +285,13 @@
             self._view.upstreams.expire(now)
         with self._housekeeping_errors:
             self._update_view_trust(now)
+        with self._housekeeping_errors:
+            self._refresh_subsets(now)
+
+    def _refresh_subsets(self, now: float) -> None:
+        if self._subsets is not None:
+            services = self._view.upstreams.services()
+            self._subsets.refresh(services, self._view.candidates, now)
 
     def add_change_listener(self, listener: ChangeListener) -> None:
         """Add a listener for changes of the replica."""
--- a/egrethook/forwarding/metrics.py
+++ b/egrethook/forwarding/metrics.py
@@ -21,6 +21,9 @@
     "registry_calls": "Calls to the service registry.",
     "gossip_bytes": "Bytes sent to other balancers.",
     "gossip_refused": "Datagrams from other balancers that were refused.",
+    "speed_report_bytes": "Bytes sent in reports of upstreams' speeds.",
+    "speed_reports_received": "Reports of upstreams' speeds from live balancers.",
+    "speed_reports_ignored": "Reports of upstreams' speeds from others.",
     "log_lines_left_out": "Log lines that were not written.",
     "unexpected_errors": "Steps of a loop that an unexpected error ended.",
     "pauses": "Times that this process was suspended.",
@@ -90,6 +93,7 @@
         now = forwarder.clock.now()
         table = forwarder.view.table
         upstreams = forwarder.view.upstreams.all()
+        subsets = forwarder.subsets
         ejected = sum(upstream.is_ejected(now) for upstream in upstreams)
         for name, text, value in (
             ("registry_revision", "Revision held.", replica.revision),
@@ -97,6 +101,11 @@
             ("configuration_version", "In force.", table.version if table else 0),
             ("upstreams", "Upstreams that are known.", len(upstreams)),
             ("upstreams_distrusted", "Upstreams left out as silent.", ejected),
+            (
+                "balancers_placed",
+                "Live balancers among which upstreams are preferred.",
+                subsets.members if subsets else 0,
+            ),
             ("domains_out", "Domains out.", len(forwarder.view.domains_out)),
         ):
             yield GaugeMetricFamily(f"egrethook_{name}", text, value=value)
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -10,8 +10,9 @@
 
 from egrethook.addresses import Address
 from egrethook.balancers.gossip import Gossip
-from egrethook.balancers.gossip_codec import MemberInfo
+from egrethook.balancers.gossip_codec import MemberInfo, SpeedReport
 from egrethook.balancers.gossip_members import GossipMembers
+from egrethook.balancers.speed_exchange import SpeedExchange
 from egrethook.clock import SuspensionDetector
 from egrethook.datagrams import bind_when_free
 from egrethook.discovery.follower import RegistryFollower
@@ -26,6 +27,7 @@
 from egrethook.signals import SignalReceiver
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM
 from egrethook.upstreams.reachability import HeardDomains
+from egrethook.upstreams.subsets import FleetMember
 
 DUE_WORK_INTERVAL_S = 0.01
 """Interval between checks for due work, in seconds."""
@@ -107,9 +109,27 @@
         self._follower = RegistryFollower(
             source, forwarder.replica, self._should_read_registry, self._clock, rng
         )
+        self._speed_exchange = self._new_speed_exchange(rng)
         self._suspension_detector = SuspensionDetector()
+        self._member_errors = ErrorBoundary(_LOG, "live members")
         self._reload_errors = ErrorBoundary(_LOG, "settings reload")
 
+    def _new_speed_exchange(self, rng: random.Random) -> SpeedExchange | None:
+        """Return the exchange of speeds, or None if it is switched off."""
+        forwarder = self._forwarder
+        if forwarder.speeds is None:
+            return None
+        exchange = SpeedExchange(
+            self._gossip,
+            self._members,
+            forwarder.speeds,
+            forwarder.upstream_name,
+            self._clock,
+            rng,
+        )
+        self._gossip.set_handler(SpeedReport, exchange.handle)
+        return exchange
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave.
 
@@ -129,6 +149,8 @@
                     self._serve_metrics,
                 ):
                     tasks.start_soon(task)
+                if self._speed_exchange is not None:
+                    tasks.start_soon(self._speed_exchange.run)
                 await self._wait_for_leave(signals)
                 self._forwarder.request_leave()
                 _LOG.info("process leaving.", leave_s=self._settings.leave_s)
@@ -178,6 +200,15 @@
             members.live_domains(self._clock.now()), members.known_domains()
         )
 
+    def _share_live_members(self) -> None:
+        """Tell the forwarder which balancers live, except those that leave."""
+        others = [
+            FleetMember(str(member.address), member.failure_domain)
+            for member in self._members.live(self._clock.now())
+            if not member.leaving
+        ]
+        self._forwarder.set_live_members(str(self._members.own.address), others)
+
     def _is_cold_sender(self, upstream: str) -> bool:
         return self._members.is_among_first(
             upstream, SENDERS_PER_UPSTREAM, self._clock.now()
@@ -205,7 +236,7 @@
         return ProbeAnswer(200, render_metrics(self._forwarder, self._process_counts))
 
     def _process_counts(self) -> dict[str, float]:
-        return {
+        return self._speed_counts() | {
             "registry_calls": self._source.calls,
             "gossip_bytes": self._gossip.bytes_sent,
             "gossip_refused": self._gossip.refused,
@@ -214,6 +245,16 @@
             "unexpected_errors": ErrorBoundary.total(),
         }
 
+    def _speed_counts(self) -> dict[str, float]:
+        exchange = self._speed_exchange
+        if exchange is None:
+            return {}
+        return {
+            "speed_report_bytes": exchange.bytes_sent,
+            "speed_reports_received": exchange.received,
+            "speed_reports_ignored": exchange.ignored,
+        }
+
     # Packets and time ------------------------------------------------------------
 
     async def _serve_packets(self) -> None:
@@ -235,6 +276,8 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_S)
             await self._check_for_suspension()
+            with self._member_errors:
+                self._share_live_members()
             self._forwarder.housekeep()
             self._forwarder.handle_ready_packets()
             self._log.flush()
@@ -245,3 +288,5 @@
         if pause_s:
             _LOG.warning("machine was suspended.", seconds=round(pause_s, 3))
             self._forwarder.note_suspension()
+            if self._speed_exchange is not None:
+                self._speed_exchange.ask_again()
--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -60,6 +60,10 @@
         """Return the current upstreams of a service, draining ones included."""
         return self._by_service[service].values()
 
+    def services(self) -> list[str]:
+        """Return the services that have or had upstreams."""
+        return list(self._by_service)
+
     def all(self) -> list[Upstream]:
         """Return all current upstreams."""
         return list(self._by_name.values())
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -74,6 +74,18 @@
         ...
 
 
+class UpstreamPreference(Protocol):
+    """Prefers some upstreams of a service, all else being equal."""
+
+    def additional_cost(self, upstream: Upstream) -> float:
+        """Return the additional cost of an upstream, in busy flows."""
+        ...
+
+    def preferred(self, service: str) -> Sequence[Upstream]:
+        """Return the upstreams of a service that are compared in any case."""
+        ...
+
+
 class _DomainSplit(NamedTuple):
     """Candidates, split into those of this balancer's failure domain and others."""
 
@@ -95,6 +107,11 @@
         Limits the openings of cold upstreams.
     filters : sequence of CandidateFilter
         Leave out upstreams; ignored if they leave out all.
+    preference : UpstreamPreference, optional
+        Adds to the costs of upstreams, and to the sample of a large number of them.
+    first_round : int
+        Where the rotation among equal candidates starts; balancers that start together
+        choose the same upstreams if it is the same for all.
     """
 
     def __init__(
@@ -103,12 +120,15 @@
         limit: FlowLimit,
         cold_admission: ColdAdmission,
         filters: Sequence[CandidateFilter] = (),
+        preference: UpstreamPreference | None = None,
+        first_round: int = 0,
     ) -> None:
+        self._preference = preference
         self._filters = filters
         self._cold_admission = cold_admission
         self._domain = domain
         self._limit = limit
-        self._round = 0
+        self._round = first_round
         self._splits: dict[str, _DomainSplit] = {}
 
     def choose(
@@ -128,7 +148,9 @@
         if len(candidates) <= LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
             return candidates
         _, local, remote = self._split(candidates)
+        preference = self._preference
         return [
+            *(preference.preferred(candidates[0].service) if preference else ()),
             *_rotating_slice(local, self._round, LOCAL_SAMPLE_SIZE),
             *_rotating_slice(remote, self._round, REMOTE_SAMPLE_SIZE),
         ]
@@ -200,6 +222,7 @@
         )
         typical_s = times[len(times) // 2] if times else 0.0
         domain = self._domain
+        preference = self._preference
         # Expected cost of an idle flow: the share of time for which flows are busy.
         busy = sum(upstream.busy_flows for upstream in pool)
         idle = sum(upstream.idle_flows for upstream in pool)
@@ -215,6 +238,8 @@
                 value += UNANSWERED_DOMAIN_COST
             if upstream in unanswered:
                 value += UNANSWERED_COST
+            if preference is not None:
+                value += preference.additional_cost(upstream)
             return value
 
         return cost
