--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -223,6 +223,7 @@
         typical_s = times[len(times) // 2] if times else 0.0
         domain = self._domain
         preference = self._preference
+        additional_cost = preference.additional_cost if preference else None
         # Expected cost of an idle flow: the share of time for which flows are busy.
         busy = sum(upstream.busy_flows for upstream in pool)
         idle = sum(upstream.idle_flows for upstream in pool)
@@ -238,8 +239,8 @@
                 value += UNANSWERED_DOMAIN_COST
             if upstream in unanswered:
                 value += UNANSWERED_COST
-            if preference is not None:
-                value += preference.additional_cost(upstream)
+            if additional_cost is not None:
+                value += additional_cost(upstream)
             return value
 
         return cost
--- a/tests/test_speed_exchange.py
+++ b/tests/test_speed_exchange.py
@@ -10,6 +10,7 @@
 import random
 
 import pytest
+from process_harness import free_port
 
 from egrethook.addresses import Address
 from egrethook.balancers.gossip import GOSSIP_INTERVAL_S, Gossip
@@ -24,9 +25,16 @@
     ReportSelection,
     SpeedExchange,
 )
+from egrethook.datagrams import DatagramSocket
 from egrethook.discovery.replica import Replica
 from egrethook.emulator.builders import ManualClock
+from egrethook.emulator.flow_records import InMemoryDecoder
 from egrethook.exceptions import BadMessageError
+from egrethook.forwarding.forwarder import Forwarder
+from egrethook.forwarding.settings import ForwarderSettings
+from egrethook.forwarding.tasks import ForwarderTasks
+from egrethook.line_log import LineLog
+from egrethook.platform.packet_header import PacketHeader
 from egrethook.upstreams.peer_speeds import (
     MAX_REPORTERS,
     MAX_UPSTREAMS,
@@ -370,3 +378,43 @@
     vm.exchange.ask_again()
     fleet.run(2.0)
     assert set(vm.speeds.from_peers) >= {101, 102, 104}
+
+
+@pytest.mark.parametrize("has_speeds", [True, False])
+def test_process_exchanges_speeds_if_it_holds_any(has_speeds, tmp_path):
+    """Without a table of speeds, reports of others are ignored."""
+    host = "127.0.0.1"
+    settings = ForwarderSettings(
+        name="vm-1",
+        failure_domain="zone-a",
+        packets=f"{host}:{free_port()}",
+        peers=f"{host}:{free_port()}",
+        probes=f"{host}:{free_port()}",
+        registry=f"{host}:1",
+    )
+    packets = DatagramSocket(Address.parse(settings.packets))
+    source = Address(host, free_port())
+    speeds = FakeSpeeds() if has_speeds else None
+    with (
+        Forwarder(settings, PacketHeader(), InMemoryDecoder(), packets) as forwarder,
+        open(tmp_path / "log", "w") as log,
+    ):
+        forwarder._speeds = speeds
+        tasks = ForwarderTasks(
+            forwarder, RegistryStub(), "settings", LineLog(log.fileno(), "vm-1")
+        )
+        with tasks._peer_socket:
+            now = forwarder.clock.now()
+            tasks._members.merge([MemberInfo(source, "zone-a", 1, 1)], now)
+            report = SpeedReport((SpeedEstimate(7, 1.9, 10.0),))
+            tasks._gossip._handle(encode(report), source)
+            counts = tasks._process_counts()
+    assert counts.get("speed_reports_received") == (1 if has_speeds else None)
+    if has_speeds:
+        assert speeds.from_peers == {7: 1.9}
+
+
+class RegistryStub:
+    """A source that is not read."""
+
+    calls = 0
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -10,8 +10,10 @@
 import random
 import time
 from collections import Counter
+from urllib.request import urlopen
 
 import pytest
+from process_harness import forwarding_process
 
 from egrethook.emulator.flow_records import (
     SERVICE,
@@ -276,3 +278,25 @@
     calls.clear()
     subsets.refresh(services, candidates_of, REFRESH_INTERVAL_S / 2)
     assert calls == []
+
+
+def metrics_of(process):
+    with urlopen(f"http://{process.metrics}/metrics", timeout=5.0) as response:
+        return response.read().decode()
+
+
+@pytest.mark.end_to_end
+def test_process_logs_its_place_and_leaves_it_as_it_was_without_the_feature(tmp_path):
+    """Two real processes hear each other; only one has the feature switched on."""
+    other_path = tmp_path / "other"
+    other_path.mkdir()
+    with forwarding_process(other_path) as other:
+        with forwarding_process(
+            tmp_path,
+            first_line=b"preferred upstreams follow the live balancers",
+            name="vm-2",
+            known_peers=[other.settings["peers"]],
+            features=["shared-speeds"],
+        ) as process:
+            assert "egrethook_balancers_placed 2.0" in metrics_of(process)
+        assert "egrethook_balancers_placed 0.0" in metrics_of(other)
