--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -55,6 +55,7 @@
 from egrethook.upstreams.flow_limit import AimdFlowLimit, FlowLimit
 from egrethook.upstreams.health import HealthObservation, PassiveHealth
 from egrethook.upstreams.outliers import OutlierDetector
+from egrethook.upstreams.subsets import PreferredSubsets
 from egrethook.upstreams.upstream import Upstream
 
 TICK_INTERVAL_S = 0.01
@@ -104,6 +105,7 @@
     name: str = ""
     up: bool = True
     paused: bool = False
+    subsets: PreferredSubsets | None = None
     waiting_packets: list[bytes] = field(default_factory=list)
     cost_aware: CostAwarePlacement | None = None
 
@@ -211,6 +213,7 @@
             health,
             outliers,
             name,
+            subsets=data_path.subsets,
             cost_aware=data_path.cost_aware,
         )
         if self._shares_health:
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -5,14 +5,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 from zlib import crc32
 
 from egrethook.callers.fair_queueing import FairQueueing, MeasuredCost
 from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.callers.forwarded_flow import DispatcherCounts
-from egrethook.callers.queueing_policy import QueueingPolicy
 from egrethook.callers.segments import PacketPort, SegmentCodec
 from egrethook.callers.service_rate import SmoothedServiceRate
 from egrethook.discovery.view import ForwardingView
@@ -25,16 +24,18 @@
 from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.outstanding import OutstandingWork
 from egrethook.upstreams.placement import ExpectedFinishCost, LeastFlowsCost
+from egrethook.upstreams.plausible_answers import PlausibleAnswers
 from egrethook.upstreams.request_costs import RequestCosts
 from egrethook.upstreams.requests import RequestListener, StallListener
 from egrethook.upstreams.selection import (
-    CandidateFilter,
-    CostTerm,
     LowestCostSelector,
     PlacementCost,
+    UpstreamPreference,
     UpstreamSelector,
 )
 from egrethook.upstreams.slow_start import SlowStartSelector
+from egrethook.upstreams.speeds import SpeedTable
+from egrethook.upstreams.subsets import PreferredSubsets
 
 
 class CostAwarePlacement(NamedTuple):
@@ -48,7 +49,18 @@
 class DataPath(NamedTuple):
     """The parts that decide where the flows of callers go.
 
-    `outliers` and `cost_aware` are None if their features are off.
+    Those of a feature that is off are None.
+
+    Parameters
+    ----------
+    outliers : OutlierDetector or None
+        Finds upstreams that fail requests.
+    cost_aware : CostAwarePlacement or None
+        What requests cost, and the speeds of upstreams.
+    subsets : PreferredSubsets or None
+        What this balancer prefers among the upstreams.
+    speeds : SpeedTable or None
+        The estimates that balancers exchange.
     """
 
     dispatcher: FlowDispatcher
@@ -56,6 +68,8 @@
     selector: UpstreamSelector
     outliers: OutlierDetector | None = None
     cost_aware: CostAwarePlacement | None = None
+    subsets: PreferredSubsets | None = None
+    speeds: SpeedTable | None = None
 
 
 def build_data_path(
@@ -92,33 +106,37 @@
         given, the flows of a service grow by slow start after the start.
     """
     health = PassiveHealth(name)
-    filters: list[CandidateFilter] = []
     listeners: list[RequestListener] = []
+    learners: list[RequestListener] = []
     stall_listeners: list[StallListener] = []
-    terms: list[CostTerm] = []
-    cost: PlacementCost = LeastFlowsCost(domain)
-    cost_aware = None
-    first_round = 0
+    subsets = outliers = cost_aware = queueing = None
+    if Feature.SHARED_SPEEDS in features:
+        subsets = PreferredSubsets(domain, view.accepts_flows)
+    cost: PlacementCost = LeastFlowsCost(domain, subsets)
     if Feature.COST_AWARE_PLACEMENT in features:
-        cost_aware = _cost_aware_placement(domain, terms)
+        cost_aware = _cost_aware_placement(domain, subsets)
         cost = cost_aware.comparison
-        listeners += [cost_aware.speeds, cost_aware.costs]
-        first_round = crc32(name.encode())
+        learners += [cost_aware.speeds, cost_aware.costs]
+    starts_apart = subsets is not None or cost_aware is not None
+    first_round = crc32(name.encode()) if starts_apart else 0
     selector: UpstreamSelector = LowestCostSelector(
-        domain, limit, cold_admission, cost, filters, first_round
+        domain, limit, cold_admission, cost, subsets, first_round
     )
-    outliers = None
     if Feature.OUTLIER_EJECTION in features:
         outliers = OutlierDetector(name, lambda service: len(view.candidates(service)))
         listeners.append(outliers)
         stall_listeners.append(outliers)
         selector = OutlierSelector(selector, outliers)
+        learners = [PlausibleAnswers(outliers, learners)]
     if live_balancers is not None:
-        selector = _with_slow_start(selector, live_balancers, listeners)
+        slow_start = SlowStartSelector(selector, live_balancers)
+        listeners.append(slow_start)
+        selector = slow_start
     counts = DispatcherCounts()
-    queueing: QueueingPolicy | None = None
     if Feature.FAIR_QUEUEING in features:
-        queueing = _fair_queueing(counts, listeners)
+        rate, costs = SmoothedServiceRate(), MeasuredCost()
+        listeners += [rate, costs]
+        queueing = FairQueueing(rate, costs, counts)
     dispatcher = FlowDispatcher(
         view,
         codec,
@@ -126,40 +144,22 @@
         selector,
         limit,
         health,
-        listeners,
+        [*listeners, *learners],
         stall_listeners,
         counts,
         queueing,
     )
-    return DataPath(dispatcher, health, selector, outliers, cost_aware)
+    speeds = cost_aware.speeds if cost_aware and subsets else None
+    return DataPath(dispatcher, health, selector, outliers, cost_aware, subsets, speeds)
 
 
-def _cost_aware_placement(domain: str, terms: Sequence[CostTerm]) -> CostAwarePlacement:
+def _cost_aware_placement(
+    domain: str, preference: UpstreamPreference | None
+) -> CostAwarePlacement:
     """Return the connected parts of cost-aware placement."""
     costs = RequestCosts()
     speeds = LearnedSpeeds(costs)
     costs.set_time_factors(speeds)
     outstanding = OutstandingWork(costs)
-    comparison = ExpectedFinishCost(domain, costs, speeds, outstanding, terms)
+    comparison = ExpectedFinishCost(domain, costs, speeds, outstanding, preference)
     return CostAwarePlacement(costs, speeds, comparison)
-
-
-def _fair_queueing(
-    counts: DispatcherCounts, listeners: list[RequestListener]
-) -> QueueingPolicy:
-    """Return the policy for fair queueing; it learns rate and costs as a listener."""
-    rate = SmoothedServiceRate()
-    costs = MeasuredCost()
-    listeners += [rate, costs]
-    return FairQueueing(rate, costs, counts)
-
-
-def _with_slow_start(
-    selector: UpstreamSelector,
-    live_balancers: Callable[[], int],
-    listeners: list[RequestListener],
-) -> UpstreamSelector:
-    """Return a selector with slow start; it learns from prompt answers."""
-    slow_start = SlowStartSelector(selector, live_balancers)
-    listeners.append(slow_start)
-    return slow_start
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -14,8 +14,10 @@
     MemberInfo,
     OutlierReport,
     ReachReport,
+    SpeedReport,
 )
 from egrethook.balancers.gossip_members import GossipMembers
+from egrethook.balancers.speed_exchange import SpeedExchange
 from egrethook.clock import SuspensionDetector
 from egrethook.datagrams import bind_when_free
 from egrethook.discovery.follower import RegistryFollower
@@ -33,6 +35,7 @@
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM
 from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.reachability import HeardDomains
+from egrethook.upstreams.subsets import FleetMember
 
 DUE_WORK_INTERVAL_S = 0.01
 """Interval between checks for due work, in seconds."""
@@ -130,8 +133,10 @@
         self._follower = RegistryFollower(
             source, forwarder.replica, self._should_read_registry, self._clock, rng
         )
+        self._speed_exchange = self._new_speed_exchange(rng)
         self._suspension_detector = SuspensionDetector()
         self._departure_errors = ErrorBoundary(_LOG, "domain departure")
+        self._member_errors = ErrorBoundary(_LOG, "live members")
         self._reload_errors = ErrorBoundary(_LOG, "settings reload")
 
     def _connect_outliers(self, outliers: OutlierDetector) -> None:
@@ -148,6 +153,22 @@
             ),
         )
 
+    def _new_speed_exchange(self, rng: random.Random) -> SpeedExchange | None:
+        """Return the exchange of speeds, or None if it is switched off."""
+        forwarder = self._forwarder
+        if forwarder.speeds is None:
+            return None
+        exchange = SpeedExchange(
+            self._gossip,
+            self._members,
+            forwarder.speeds,
+            forwarder.upstream_name,
+            self._clock,
+            rng,
+        )
+        self._gossip.set_handler(SpeedReport, exchange.handle)
+        return exchange
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then leave.
 
@@ -168,6 +189,8 @@
                     self._serve_metrics,
                 ):
                     tasks.start_soon(task)
+                if self._speed_exchange is not None:
+                    tasks.start_soon(self._speed_exchange.run)
                 await self._wait_for_leave(signals)
                 self._forwarder.request_leave()
                 _LOG.info("process leaving.", leave_s=self._settings.leave_s)
@@ -238,6 +261,15 @@
         targets = self._members.report_targets(self._clock.now())
         self._gossip.send_to(report, targets[:limit])
 
+    def _share_live_members(self) -> None:
+        """Tell the forwarder which balancers live, except those that leave."""
+        others = [
+            FleetMember(str(member.address), member.failure_domain)
+            for member in self._members.live(self._clock.now())
+            if not member.leaving
+        ]
+        self._forwarder.set_live_members(str(self._members.own.address), others)
+
     def _is_cold_sender(self, upstream: str) -> bool:
         return self._members.is_among_first(
             upstream, SENDERS_PER_UPSTREAM, self._clock.now()
@@ -265,7 +297,7 @@
         return ProbeAnswer(200, render_metrics(self._forwarder, self._process_counts))
 
     def _process_counts(self) -> dict[str, float]:
-        return {
+        return self._speed_counts() | {
             "registry_calls": self._source.calls,
             "gossip_bytes": self._gossip.bytes_sent,
             "gossip_refused": self._gossip.refused,
@@ -274,6 +306,16 @@
             "unexpected_errors": ErrorBoundary.total(),
         }
 
+    def _speed_counts(self) -> dict[str, float]:
+        exchange = self._speed_exchange
+        if exchange is None:
+            return {}
+        return {
+            "speed_report_bytes": exchange.bytes_sent,
+            "speed_reports_received": exchange.received,
+            "speed_reports_ignored": exchange.ignored,
+        }
+
     # Packets and time ------------------------------------------------------------
 
     async def _serve_packets(self) -> None:
@@ -295,6 +337,8 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_S)
             await self._check_for_suspension()
+            with self._member_errors:
+                self._share_live_members()
             self._forwarder.housekeep()
             self._forwarder.handle_ready_packets()
             self._log.flush()
@@ -305,3 +349,5 @@
         if pause_s:
             _LOG.warning("machine was suspended.", seconds=round(pause_s, 3))
             self._forwarder.note_suspension()
+            if self._speed_exchange is not None:
+                self._speed_exchange.ask_again()
--- a/egrethook/upstreams/outliers.py
+++ b/egrethook/upstreams/outliers.py
@@ -159,6 +159,14 @@
         sample = RequestSample(outcome.service_s, outcome.answer_bytes)
         self._note(outcome.upstream, outcome.route, sample, now)
 
+    def is_suspicious(self, outcome: RequestOutcome) -> bool:
+        """Return whether an answer came too soon and is too short for its route."""
+        answers = self._answers.get((outcome.route.name, outcome.upstream.service))
+        if answers is None or answers.norm is None:
+            return False
+        sample = RequestSample(outcome.service_s, outcome.answer_bytes)
+        return answers.norm.is_suspicious(sample)
+
     def request_stalled(
         self, upstream: Upstream, route: Route, sent_at: float, now: float
     ) -> None:
@@ -187,7 +195,7 @@
         if norm.is_suspicious(sample):
             self._counts.suspicious += 1
             self._note_suspicious(upstream, norm.weights, sample, now)
-        else:
+        elif norm.is_plausible(sample):
             self._note_plausible(upstream, norm.weights, now)
 
     def _answers_of(self, route: Route, upstream: Upstream) -> RouteAnswers | None:
--- a/egrethook/upstreams/placement.py
+++ b/egrethook/upstreams/placement.py
@@ -7,7 +7,7 @@
 
 from egrethook.discovery.records import Route
 from egrethook.upstreams.outstanding import OutstandingWork, PlacedWork
-from egrethook.upstreams.selection import CostTerm, Opening
+from egrethook.upstreams.selection import Opening, UpstreamPreference
 from egrethook.upstreams.upstream import Upstream
 
 REMOTE_DOMAIN_COST = 0.7
@@ -45,10 +45,15 @@
     ----------
     domain : str
         The failure domain of this balancer.
+    preference : UpstreamPreference, optional
+        Upstreams that this balancer prefers, all else being equal.
     """
 
-    def __init__(self, domain: str) -> None:
+    def __init__(
+        self, domain: str, preference: UpstreamPreference | None = None
+    ) -> None:
         self._domain = domain
+        self._preference = preference
 
     def for_opening(
         self, pool: Sequence[Upstream], opening: Opening
@@ -62,6 +67,8 @@
         typical_s = times[len(times) // 2] if times else 0.0
         domain = self._domain
         idle_weight = _busy_share(pool)
+        preference = self._preference
+        additional_cost = preference.additional_cost if preference else None
 
         def cost(upstream: Upstream) -> float:
             value = upstream.busy_flows + idle_weight * upstream.idle_flows + 1.0
@@ -73,6 +80,8 @@
                 value += UNANSWERED_DOMAIN_COST
             if upstream in unanswered:
                 value += UNANSWERED_COST
+            if additional_cost is not None:
+                value += additional_cost(upstream)
             return value
 
         return cost
@@ -100,8 +109,8 @@
         For another failure domain.
     penalty_s : float
         For earlier silence, and for outstanding work above the objective.
-    terms_s : float
-        Sum of the additional terms.
+    preference_s : float
+        For an upstream that other balancers prefer.
     """
 
     upstream: Upstream
@@ -112,18 +121,18 @@
     crowding_s: float
     domain_s: float
     penalty_s: float
-    terms_s: float
+    preference_s: float
 
     @property
     def finish_s(self) -> float:
-        """Expected time until the answer, with all penalties and terms."""
+        """Expected time until the answer, with all penalties."""
         return (
             self.service_s
             + self.wait_s
             + self.crowding_s
             + self.domain_s
             + self.penalty_s
-            + self.terms_s
+            + self.preference_s
         )
 
 
@@ -155,16 +164,19 @@
         For what other balancers have placed there.
     domain : float
         For another failure domain.
+    preference : float
+        For an upstream that other balancers prefer.
     """
 
     time_factor: float
     crowding: float
     domain: float
+    preference: float
 
     @property
     def total(self) -> float:
         """The sum of all parts."""
-        return self.time_factor + self.crowding + self.domain
+        return self.time_factor + self.crowding + self.domain + self.preference
 
 
 class _PoolSummary:
@@ -234,8 +246,6 @@
         Expected cost of a request of the route, in seconds.
     unanswered : collection of Upstream
         Upstreams that left the opening, or an earlier one, unanswered.
-    terms : sequence of callable
-        Additional costs of a candidate, in seconds.
     """
 
     now: float
@@ -243,7 +253,6 @@
     objective_s: float
     summary: _PoolSummary
     unanswered: Collection[Upstream]
-    terms: Sequence[Callable[[Upstream], float]]
 
     def silence_s(self, upstream: Upstream) -> float:
         """Return the cost of earlier silence, in seconds."""
@@ -256,10 +265,6 @@
             value += UNANSWERED_COST
         return value * self.cost_s
 
-    def terms_s(self, upstream: Upstream) -> float:
-        """Return the sum of the additional costs, in seconds."""
-        return sum([term(upstream) for term in self.terms])
-
 
 class ExpectedFinishCost:
     """Prefers the upstream that is expected to answer first.
@@ -279,8 +284,8 @@
         The speeds of upstreams.
     outstanding : OutstandingWork
         What upstreams still have to do for this balancer.
-    terms : sequence of CostTerm
-        Costs from outside, added to each candidate's.
+    preference : UpstreamPreference, optional
+        Upstreams that this balancer prefers, all else being equal.
     """
 
     def __init__(
@@ -289,13 +294,13 @@
         costs: ExpectedCosts,
         speeds: UpstreamFactors,
         outstanding: OutstandingWork,
-        terms: Sequence[CostTerm] = (),
+        preference: UpstreamPreference | None = None,
     ) -> None:
         self._domain = domain
         self._costs = costs
         self._speeds = speeds
         self._outstanding = outstanding
-        self._terms = terms
+        self._preference = preference
         self._placed = PlacedWork()
         self._summaries: dict[str, _PoolSummary] = {}
 
@@ -306,7 +311,6 @@
         context = self._context(pool, opening)
         cost_s = context.cost_s
         totals = context.summary.totals
-        has_extras = bool(context.unanswered or context.terms)
 
         def cost(upstream: Upstream) -> float:
             total = totals.get(upstream.token)
@@ -315,8 +319,8 @@
             value = cost_s * total
             if upstream.requests or upstream.idle_flows:
                 value += self._load(upstream, context).cost_s
-            if has_extras:
-                value += context.silence_s(upstream) + context.terms_s(upstream)
+            if context.unanswered:
+                value += context.silence_s(upstream)
             return value
 
         return cost
@@ -361,7 +365,6 @@
             opening.route.objective_s,
             summary,
             _unanswered(opening),
-            [term.for_opening(pool, opening) for term in self._terms],
         )
 
     def _estimate(self, upstream: Upstream, context: _Context) -> CandidateEstimate:
@@ -377,7 +380,7 @@
             crowding_s=weights.crowding * cost_s,
             domain_s=weights.domain * cost_s,
             penalty_s=load.penalty_s + context.silence_s(upstream),
-            terms_s=context.terms_s(upstream),
+            preference_s=weights.preference * cost_s,
         )
 
     def _weights(self, upstream: Upstream, context: _Context) -> _Weights:
@@ -385,10 +388,12 @@
         one_request = context.summary.one_request
         placed = self._placed.amounts.get(upstream.token, 0.0) / _slots(upstream)
         mean = context.summary.placed_means.get(upstream.domain, 0.0)
+        preference = self._preference
         return _Weights(
             self._speeds.factors.get(upstream.token, 1.0),
             PLACED_SHARE_COST * (placed + one_request) / (mean + one_request),
             REMOTE_SHARE_COST if upstream.domain != self._domain else 0.0,
+            preference.additional_cost(upstream) if preference is not None else 0.0,
         )
 
     def _load(self, upstream: Upstream, context: _Context) -> _Load:
--- a/egrethook/upstreams/route_answers.py
+++ b/egrethook/upstreams/route_answers.py
@@ -105,6 +105,16 @@
             return True
         return sample.answer_bytes < self.short_bytes and sample.service_s < self.soon_s
 
+    def is_plausible(self, sample: RequestSample) -> bool:
+        """Return whether a request was answered at length.
+
+        A short answer that comes late may be a failure too: it was held up on its way,
+        or this balancer is slow.
+        """
+        return (
+            sample.answer_bytes is not None and sample.answer_bytes >= self.short_bytes
+        )
+
 
 def evidence_weights(normal_rate: float) -> EvidenceWeights:
     """Return the weights, given the suspicious share of normal upstreams."""
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -54,16 +54,8 @@
         ...
 
 
-class CandidateFilter(Protocol):
-    """Leaves out upstreams for a while, beyond those that are ejected."""
-
-    def admits(self, upstream: Upstream, opening: Opening) -> bool:
-        """Return whether an upstream may get an opening."""
-        ...
-
-
-class CostTerm(Protocol):
-    """Adds a cost to each candidate, for a reason that the selector doesn't know."""
+class PlacementCost(Protocol):
+    """Compares candidates; the one with the lowest cost gets the opening."""
 
     def for_opening(
         self, pool: Sequence[Upstream], opening: Opening
@@ -77,15 +69,23 @@
         """
         ...
 
-
-class PlacementCost(CostTerm, Protocol):
-    """Compares candidates; the one with the lowest cost gets the opening."""
-
     def note_placed(self, upstream: Upstream, opening: Opening) -> None:
         """Handle that an upstream gets an opening."""
         ...
 
 
+class UpstreamPreference(Protocol):
+    """Prefers some upstreams of a service, all else being equal."""
+
+    def additional_cost(self, upstream: Upstream) -> float:
+        """Return the additional cost of an upstream, in busy flows."""
+        ...
+
+    def preferred(self, service: str) -> Sequence[Upstream]:
+        """Return the upstreams of a service that are compared in any case."""
+        ...
+
+
 class _DomainSplit(NamedTuple):
     """Candidates, split into those of this balancer's failure domain and others."""
 
@@ -107,8 +107,8 @@
         Limits the openings of cold upstreams.
     cost : PlacementCost
         Compares candidates.
-    filters : sequence of CandidateFilter
-        Leave out upstreams; ignored if they leave out all.
+    preference : UpstreamPreference, optional
+        Adds to the sample of a large number of candidates.
     first_round : int
         Where the rotation among equal candidates begins. Balancers that begin apart
         don't all choose the same ones.
@@ -120,11 +120,11 @@
         limit: FlowLimit,
         cold_admission: ColdAdmission,
         cost: PlacementCost,
-        filters: Sequence[CandidateFilter] = (),
+        preference: UpstreamPreference | None = None,
         first_round: int = 0,
     ) -> None:
         self._cost = cost
-        self._filters = filters
+        self._preference = preference
         self._cold_admission = cold_admission
         self._domain = domain
         self._limit = limit
@@ -149,7 +149,9 @@
         if len(candidates) <= LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
             return candidates
         _, local, remote = self._split(candidates)
+        preference = self._preference
         return [
+            *(preference.preferred(candidates[0].service) if preference else ()),
             *_rotating_slice(local, self._round, LOCAL_SAMPLE_SIZE),
             *_rotating_slice(remote, self._round, REMOTE_SAMPLE_SIZE),
         ]
@@ -179,9 +181,6 @@
         not_ejected = [upstream for upstream in usable if not upstream.is_ejected(now)]
         # If all are ejected, ejection is ignored.
         pool = not_ejected or usable
-        for candidate_filter in self._filters:
-            admitted = [one for one in pool if candidate_filter.admits(one, opening)]
-            pool = admitted or pool
         if not tried and (unchecked := self._first_unchecked(not_ejected, now)):
             return unchecked
         available = [
--- a/tests/test_cost_aware_placement.py
+++ b/tests/test_cost_aware_placement.py
@@ -322,7 +322,7 @@
 class Placement:
     """A selector over upstreams with known speeds."""
 
-    def __init__(self, *candidates, factors=(), terms=()):
+    def __init__(self, *candidates, factors=(), preference=None):
         self.candidates = list(candidates)
         self.learning = Learning()
         for _ in range(20):
@@ -334,7 +334,7 @@
             self.learning.costs,
             self.learning.speeds,
             OutstandingWork(self.learning.costs),
-            terms,
+            preference,
         )
 
     def opening(self, tried=(), avoided=(), route=ROUTE):
@@ -394,16 +394,17 @@
         estimate = placement.estimate(local, avoided=[local])
         assert estimate.penalty_s > placement.estimate(remote).domain_s > 0.0
 
-    def test_additional_terms_count(self):
+    def test_preferences_of_the_balancer_count(self):
         first, second = upstream("first"), upstream("second")
 
         class Preference:
-            def for_opening(self, pool, opening):
-                return lambda one: 0.0 if one is second else 0.1
+            def additional_cost(self, one):
+                return 0.0 if one is second else 2.0
 
-        placement = Placement(first, second, terms=[Preference()])
+        placement = Placement(first, second, preference=Preference())
         assert placement.choose() is second
-        assert placement.estimate(first).terms_s == 0.1
+        estimate = placement.estimate(first)
+        assert estimate.preference_s == pytest.approx(2.0 * estimate.service_s)
 
     def test_equal_upstreams_take_turns(self):
         ups = [upstream(f"up-{number}") for number in range(5)]
