--- a/egrethook/upstreams/placement.py
+++ b/egrethook/upstreams/placement.py
@@ -29,6 +29,7 @@
 """Cost of an upstream that got the mean placed work of its domain, in requests.
 
 Other balancers place theirs likewise: what they have at an upstream can't be seen here.
+It doesn't count where a preference keeps the choices of balancers apart.
 """
 
 OVERLOADED_COST_S = 30.0
@@ -389,9 +390,11 @@
         placed = self._placed.amounts.get(upstream.token, 0.0) / _slots(upstream)
         mean = context.summary.placed_means.get(upstream.domain, 0.0)
         preference = self._preference
+        is_placed = preference is not None and preference.is_placed
+        crowding = (placed + one_request) / (mean + one_request)
         return _Weights(
             self._speeds.factors.get(upstream.token, 1.0),
-            PLACED_SHARE_COST * (placed + one_request) / (mean + one_request),
+            0.0 if is_placed else PLACED_SHARE_COST * crowding,
             REMOTE_SHARE_COST if upstream.domain != self._domain else 0.0,
             preference.additional_cost(upstream) if preference is not None else 0.0,
         )
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -77,6 +77,11 @@
 class UpstreamPreference(Protocol):
     """Prefers some upstreams of a service, all else being equal."""
 
+    @property
+    def is_placed(self) -> bool:
+        """Whether it keeps the choices of different balancers apart."""
+        ...
+
     def additional_cost(self, upstream: Upstream) -> float:
         """Return the additional cost of an upstream, in busy flows."""
         ...
--- a/egrethook/upstreams/subsets.py
+++ b/egrethook/upstreams/subsets.py
@@ -129,6 +129,11 @@
         self._costs: dict[int, float] = {}
         self._default_cost = 0.0
 
+    @property
+    def is_placed(self) -> bool:
+        """Whether this balancer has a place among others."""
+        return self._place is not None
+
     @property
     def members(self) -> int:
         """Number of balancers whose places are known, 0 if there is no ring."""
--- a/tests/test_cost_aware_placement.py
+++ b/tests/test_cost_aware_placement.py
@@ -398,6 +398,8 @@
         first, second = upstream("first"), upstream("second")
 
         class Preference:
+            is_placed = True
+
             def additional_cost(self, one):
                 return 0.0 if one is second else 2.0
 
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -22,7 +22,8 @@
     route_table,
     upstream_record,
 )
-from egrethook.upstreams.selection import LeastFlowsSelector, Opening
+from egrethook.upstreams.placement import LeastFlowsCost
+from egrethook.upstreams.selection import LowestCostSelector, Opening
 from egrethook.upstreams.subsets import (
     PREFERRED_COUNT,
     REFRESH_INTERVAL_S,
@@ -194,8 +195,10 @@
     members = make_members(vms)
     upstreams = make_upstreams(count)
     subsets = make_subsets(members[0], members, upstreams)
-    selector = LeastFlowsSelector(
-        members[0].domain, FixedFlowLimit(limit), NoColdLimit(), (), subsets
+    domain = members[0].domain
+    cost = LeastFlowsCost(domain, subsets)
+    selector = LowestCostSelector(
+        domain, FixedFlowLimit(limit), NoColdLimit(), cost, subsets
     )
     return selector, upstreams, order_of(members[0], members, upstreams)
 
