Renew the scale of placed work also where nothing is compared

An opening that checks an upstream is placed without a comparison. After 47 minutes without openings, or as the first one of a process on a machine that has run for longer, it failed with an overflow, and the opening was dropped.

The new test fails with OverflowError without the change.

--- a/egrethook/upstreams/outstanding.py
+++ b/egrethook/upstreams/outstanding.py
@@ -88,7 +88,8 @@
     def renew_if_due(self, now: float) -> bool:
         """Start a new scale if the unit has become large; return whether it has.
 
-        What counts for nothing any more is forgotten. Must be called every few minutes.
+        What counts for nothing any more is forgotten. Must be called before `unit` or
+        `add` if none of them was called for minutes: the unit overflows.
         """
         if now - self._started_at <= MAX_GROWTH * PLACED_WORK_TIME_S:
             return False
--- a/egrethook/upstreams/placement.py
+++ b/egrethook/upstreams/placement.py
@@ -343,6 +343,7 @@
         """Record that an upstream gets an opening."""
         cost_s = self._costs.expected_s(opening.route, upstream.service)
         time_factor = self._speeds.factors.get(upstream.token, 1.0)
+        self._renew_scale(opening.now)
         self._placed.add(upstream, cost_s * time_factor, opening.now)
         summary = self._summaries.get(upstream.service)
         if summary is not None:
@@ -353,8 +354,7 @@
         now = opening.now
         service = pool[0].service
         cost_s = self._costs.expected_s(opening.route, service)
-        if self._placed.renew_if_due(now):
-            self._summaries.clear()
+        self._renew_scale(now)
         summary = self._summaries.get(service)
         if summary is None or now >= summary.valid_until:
             one_request = cost_s * self._placed.unit(now)
@@ -368,6 +368,11 @@
             _unanswered(opening),
         )
 
+    def _renew_scale(self, now: float) -> None:
+        """Start a new scale of placed work if it is due."""
+        if self._placed.renew_if_due(now):
+            self._summaries.clear()
+
     def _estimate(self, upstream: Upstream, context: _Context) -> CandidateEstimate:
         weights = self._weights(upstream, context)
         load = self._load(upstream, context)
--- a/tests/test_cost_aware_placement.py
+++ b/tests/test_cost_aware_placement.py
@@ -408,6 +408,15 @@
         estimate = placement.estimate(first)
         assert estimate.preference_s == pytest.approx(2.0 * estimate.service_s)
 
+    def test_check_of_an_upstream_is_placed_after_hours_without_openings(self):
+        """Its upstream is chosen without a comparison, which renews the scale."""
+        one, other = upstream("a"), upstream("b")
+        placement = Placement(one, other)
+        placement.now = 50_000.0
+        one.stalled_since = placement.now - 1.0
+        assert placement.choose() is one
+        assert placement.estimate(one).crowding_s > placement.estimate(other).crowding_s
+
     def test_equal_upstreams_take_turns(self):
         ups = [upstream(f"up-{number}") for number in range(5)]
         placement = Placement(*ups)
