Compare preferred upstreams only if they are candidates

With more than 64 candidates, the upstreams that a balancer prefers were compared for each opening whether they were candidates or not. So an outlier that is preferred still got ordinary openings, and for up to a second an upstream whose service had changed, or that had lost its token to another one, could get flows of the old service.

The new test fails without the change.

--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -95,6 +95,7 @@
     """Candidates, split into those of this balancer's failure domain and others."""
 
     candidates: Sequence[Upstream]
+    members: frozenset[Upstream]
     local: list[Upstream]
     remote: list[Upstream]
 
@@ -153,12 +154,14 @@
         """Return all candidates, or a rotating sample of a large number."""
         if len(candidates) <= LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
             return candidates
-        _, local, remote = self._split(candidates)
+        split = self._split(candidates)
         preference = self._preference
+        preferred = preference.preferred(candidates[0].service) if preference else ()
+        # What is preferred may be older than the candidates.
         return [
-            *(preference.preferred(candidates[0].service) if preference else ()),
-            *_rotating_slice(local, self._round, LOCAL_SAMPLE_SIZE),
-            *_rotating_slice(remote, self._round, REMOTE_SAMPLE_SIZE),
+            *(upstream for upstream in preferred if upstream in split.members),
+            *_rotating_slice(split.local, self._round, LOCAL_SAMPLE_SIZE),
+            *_rotating_slice(split.remote, self._round, REMOTE_SAMPLE_SIZE),
         ]
 
     def _split(self, candidates: Sequence[Upstream]) -> _DomainSplit:
@@ -175,7 +178,8 @@
             remote = [
                 upstream for upstream in candidates if upstream.domain != self._domain
             ]
-            known = self._splits[service] = _DomainSplit(candidates, local, remote)
+            known = _DomainSplit(candidates, frozenset(candidates), local, remote)
+            self._splits[service] = known
         return known
 
     def _best(
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -233,6 +233,14 @@
     assert gone not in subsets.preferred(SERVICE)
 
 
+def test_preferred_upstreams_that_are_no_candidates_get_nothing():
+    """They may be outliers, or serve something else by now, with the ring unchanged."""
+    selector, upstreams, order = make_selector(600, vms=300)
+    candidates = [one for one in upstreams if one.name not in order[:8]]
+    names = {selector.choose(candidates, OPENING).name for _ in range(20)}
+    assert not names & set(order[:8])
+
+
 def test_without_members_no_upstream_is_preferred():
     upstreams = make_upstreams(60)
     own = FleetMember("10.0.0.1:7000", "zone-a")
