Believe peers that agree on an upstream more than ten times slower

Balancers exchange time factors up to 20, and each ignored those above 10 (or below 0.1): what two or more agreed on counted for nothing, and only the first report, bounded to 2.0, remained. Both now have the same bound of 10, to which the exchange limits what it sends and combines.

The new test fails without the change (time factor 1.78 after three reports of 15).

--- a/egrethook/upstreams/learned_speeds.py
+++ b/egrethook/upstreams/learned_speeds.py
@@ -17,7 +17,7 @@
 
 from egrethook.logs import PartLog
 from egrethook.upstreams.requests import RequestOutcome
-from egrethook.upstreams.speeds import SpeedEstimate
+from egrethook.upstreams.speeds import MAX_TIME_FACTOR, SpeedEstimate
 from egrethook.upstreams.upstream import Upstream
 
 MAX_LOG_STEP = 0.7
@@ -38,7 +38,7 @@
 MIN_WEIGHT = 0.05
 """Weight below which an estimate is dropped."""
 
-FACTOR_RANGE = (0.1, 10.0)
+FACTOR_RANGE = (1.0 / MAX_TIME_FACTOR, MAX_TIME_FACTOR)
 """Bounds of a time factor."""
 
 MAX_UPSTREAMS = 4_096
--- a/egrethook/upstreams/peer_speeds.py
+++ b/egrethook/upstreams/peer_speeds.py
@@ -13,7 +13,7 @@
 from collections.abc import Hashable, Iterable, Sequence, Set
 from typing import NamedTuple
 
-from egrethook.upstreams.speeds import SpeedEstimate
+from egrethook.upstreams.speeds import MAX_TIME_FACTOR, SpeedEstimate
 
 REPORT_LIFE_S = 12.0
 """Time after which a report no longer counts, in seconds."""
@@ -24,9 +24,6 @@
 SINGLE_REPORTER_MAX_FACTOR = 2.0
 """Bound of the time factor, and of its inverse, that one balancer alone can cause."""
 
-MAX_FACTOR = 20.0
-"""Bound of all time factors and of their inverse."""
-
 MAX_WEIGHT = 10.0
 """Maximum weight of a combined estimate, in answers."""
 
@@ -114,6 +111,6 @@
     return min(middle, key=lambda factor: abs(math.log(factor)))
 
 
-def bounded_factor(time_factor: float, bound: float = MAX_FACTOR) -> float:
+def bounded_factor(time_factor: float, bound: float = MAX_TIME_FACTOR) -> float:
     """Return a time factor no greater than a bound and no less than its inverse."""
     return min(bound, max(1.0 / bound, time_factor))
--- a/egrethook/upstreams/speeds.py
+++ b/egrethook/upstreams/speeds.py
@@ -5,6 +5,9 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple, Protocol
 
+MAX_TIME_FACTOR = 10.0
+"""Bound of all time factors and of their inverse."""
+
 
 class SpeedEstimate(NamedTuple):
     """How long an upstream takes, compared with others for the same requests.
--- a/tests/test_cost_aware_placement.py
+++ b/tests/test_cost_aware_placement.py
@@ -30,6 +30,7 @@
     OutstandingWork,
     PlacedWork,
 )
+from egrethook.upstreams.peer_speeds import PeerSpeeds
 from egrethook.upstreams.placement import ExpectedFinishCost
 from egrethook.upstreams.request_costs import (
     DEFAULT_COST_S,
@@ -252,6 +253,15 @@
         speeds.apply_peer_estimates([SpeedEstimate(one.token, 2.0, factor - 1)], 0.0)
         assert speeds.time_factor(one) < 10.0
 
+    def test_peers_that_agree_on_a_very_slow_upstream_are_believed(self):
+        """No factor that balancers send each other is out of range here."""
+        speeds, peers = LearnedSpeeds(RequestCosts()), PeerSpeeds()
+        one = upstream("a")
+        for reporter in ("x", "y", "z"):
+            combined = peers.note(reporter, [SpeedEstimate(one.token, 15.0, 10.0)], 0.0)
+            speeds.apply_peer_estimates(combined, 0.0)
+        assert speeds.time_factor(one) > 5.0
+
     def test_memory_is_bounded(self, monkeypatch):
         monkeypatch.setattr(learned_speeds, "MAX_UPSTREAMS", 5)
         learning = Learning()
