Forget the answers of routes that are no longer used

Of pairs of route and service, the first 32 were kept for the life of the process. After enough changes of the configuration, no answer of a new route was compared, and its failing upstreams got openings as before. A pair without requests for five minutes now makes room.

The new test fails if nothing is forgotten: the failing upstream is not left out.

--- a/egrethook/upstreams/outliers.py
+++ b/egrethook/upstreams/outliers.py
@@ -63,6 +63,9 @@
 MAX_ROUTES = 32
 """Maximum pairs of route and service whose answers are compared."""
 
+ROUTE_LIFE_S = 300.0
+"""Time without requests after which a pair is forgotten, in seconds."""
+
 MAX_TRACKED = 512
 """Maximum upstreams with evidence against them."""
 
@@ -416,6 +419,9 @@
         for token, (returned_at, _) in list(self._returned.items()):
             if now - returned_at > RELAPSE_S:
                 del self._returned[token]
+        for key, answers in list(self._answers.items()):
+            if now - answers.noted_at > ROUTE_LIFE_S:
+                del self._answers[key]
         _drop_before(self._paused_until, now)
         _drop_before(self._stall_seen, now - RELAPSE_S)
 
--- a/egrethook/upstreams/route_answers.py
+++ b/egrethook/upstreams/route_answers.py
@@ -141,8 +141,14 @@
         self._samples: OrderedDict[int, deque[RequestSample]] = OrderedDict()
         self._sampled_at: dict[int, float] = {}
         self._since_refresh = 0
+        self._noted_at = float("-inf")
         self._norm: AnswerNorm | None = None
 
+    @property
+    def noted_at(self) -> float:
+        """When the newest request was added, in seconds."""
+        return self._noted_at
+
     @property
     def norm(self) -> AnswerNorm | None:
         """What is typical; None while too few answers are known."""
@@ -155,7 +161,7 @@
             samples = self._samples[token] = deque(maxlen=SAMPLES_PER_UPSTREAM)
         samples.append(sample)
         self._samples.move_to_end(token)
-        self._sampled_at[token] = now
+        self._sampled_at[token] = self._noted_at = now
         if len(self._samples) > MAX_UPSTREAMS:
             self.forget(next(iter(self._samples)))
         self._since_refresh += 1
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -232,6 +232,18 @@
     assert detector.tracked == 0
 
 
+def test_routes_that_are_no_longer_used_make_room_for_new_ones(upstreams):
+    detector = OutlierDetector("vm", lambda service: len(upstreams))
+    for number in range(2 * outliers.MAX_ROUTES):
+        old = add_route(route_table(), f"old-{number}").routes[-1]
+        answer(detector, upstreams[0], GOOD, 1.0, old)
+    later = 2.0 + outliers.ROUTE_LIFE_S
+    for _ in range(10):
+        for upstream in upstreams:
+            answer(detector, upstream, GOOD, later)
+    eject(detector, upstreams[0], later + 1.0)
+
+
 def test_sources_are_bounded():
     evidence = Evidence()
     for number in range(1_000):
