Time the first request of a flow from its first byte

A flow whose caller opens it in advance waits for its first request. That wait, up to 3 s, counted as service time: the upstream looked slow to what learns costs and speeds and to the flow limit, and a packet repeated once looked like a request left hanging for long, which is evidence for leaving the upstream out. Also without any feature the service time of such a request now begins with the request; where the request follows the handshake at once nothing changes.

The new test fails without the change (2.03 s in place of 0.04 s).

--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -212,9 +212,10 @@
 
     def record_request(self, segment: Segment, now: float) -> None:
         """Record the data of a new request, or more data of the current one."""
+        begins = not self._busy or not self.request_bytes
         self._request_end = segment.end
         self._request_waits = True
-        if not self._busy:
+        if begins:
             self._request_start = segment.sequence
             self._retransmitted = False
             self._acknowledged = segment.acknowledged
--- a/tests/test_open_flows.py
+++ b/tests/test_open_flows.py
@@ -185,3 +185,35 @@
     harness.advance(6.0)
     flow_request(harness, 2001, "a", 6.0, sequence=11, ack=100)
     assert reset_callers(harness) == []
+
+
+class RecordingListener:
+    def __init__(self):
+        self.service_times = []
+
+    def request_answered(self, outcome, now):
+        self.service_times.append(outcome.service_s)
+
+
+class RecordingStallListener:
+    def __init__(self):
+        self.ages = []
+
+    def request_stalled(self, upstream, route, sent_at, now):
+        self.ages.append(now - sent_at)
+
+
+def test_first_request_of_a_flow_opened_in_advance_is_timed_from_its_first_byte():
+    """Otherwise a good upstream would look slow, or look as if it let requests hang."""
+    answers, stalls = RecordingListener(), RecordingStallListener()
+    harness = DispatcherHarness(
+        names=("a",), listeners=[answers], stall_listeners=[stalls]
+    )
+    for port in (2000, 2001):
+        harness.open(port, 0.0)
+    flow_request(harness, 2000, "a", 2.0, ack=0)
+    flow_request(harness, 2001, "a", 2.0, ack=0)
+    flow_answered(harness, 2000, "a", 2.04, ack=100)
+    flow_request(harness, 2001, "a", 2.3, ack=0)
+    assert [round(one, 3) for one in answers.service_times] == [0.04]
+    assert [round(one, 3) for one in stalls.ages] == [0.3]
