--- a/tests/test_cost_aware_placement.py
+++ b/tests/test_cost_aware_placement.py
@@ -30,6 +30,7 @@
     OutstandingWork,
     PlacedWork,
 )
+from egrethook.upstreams.peer_speeds import PeerSpeeds
 from egrethook.upstreams.placement import ExpectedFinishCost
 from egrethook.upstreams.request_costs import (
     DEFAULT_COST_S,
@@ -252,6 +253,15 @@
         speeds.apply_peer_estimates([SpeedEstimate(one.token, 2.0, factor - 1)], 0.0)
         assert speeds.time_factor(one) < 10.0
 
+    def test_peers_that_agree_on_a_very_slow_upstream_are_believed(self):
+        """No factor that balancers send each other is out of range here."""
+        speeds, peers = LearnedSpeeds(RequestCosts()), PeerSpeeds()
+        one = upstream("a")
+        for reporter in ("x", "y", "z"):
+            combined = peers.note(reporter, [SpeedEstimate(one.token, 15.0, 10.0)], 0.0)
+            speeds.apply_peer_estimates(combined, 0.0)
+        assert speeds.time_factor(one) > 5.0
+
     def test_memory_is_bounded(self, monkeypatch):
         monkeypatch.setattr(learned_speeds, "MAX_UPSTREAMS", 5)
         learning = Learning()
@@ -408,6 +418,15 @@
         estimate = placement.estimate(first)
         assert estimate.preference_s == pytest.approx(2.0 * estimate.service_s)
 
+    def test_check_of_an_upstream_is_placed_after_hours_without_openings(self):
+        """Its upstream is chosen without a comparison, which renews the scale."""
+        one, other = upstream("a"), upstream("b")
+        placement = Placement(one, other)
+        placement.now = 50_000.0
+        one.stalled_since = placement.now - 1.0
+        assert placement.choose() is one
+        assert placement.estimate(one).crowding_s > placement.estimate(other).crowding_s
+
     def test_equal_upstreams_take_turns(self):
         ups = [upstream(f"up-{number}") for number in range(5)]
         placement = Placement(*ups)
