Refuse no waiting opening that another balancer may have opened

Cause: an opening that had waited in vain was refused 50 ms before its caller's timeout. When routers move flows meanwhile (a release, a departure, a new VM), later copies of it go to another balancer, which may open the flow; the refusal then reset an open flow of a live upstream. Change: such an opening is refused only if all of the caller's copies came to this balancer, otherwise dropped, as before fair queueing. A copy number that no caller sends counts as the last one.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -266,6 +266,7 @@
         during a start, leave the first one its time to be answered.
         """
         if flow.state is FlowState.WAITING:
+            flow.note_copy(segment)
             return
         if flow.state is FlowState.OPEN:
             self._output.forward(flow.tried[-1], datagram)
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -25,6 +25,9 @@
 OPENING_SEND_OFFSETS_S = (0.0, 0.2, 0.6)
 """When a caller sends an opening and its retransmissions, in seconds."""
 
+_ALL_COPIES = (1 << len(OPENING_SEND_OFFSETS_S)) - 1
+"""Bit mask of the copies of an opening."""
+
 MIN_RETRANSMISSION_TIMEOUT_S = 0.15
 """Shortest time after which a caller retransmits a request, in seconds."""
 
@@ -37,6 +40,11 @@
     OPEN = "open"
 
 
+def _copy_index(segment: Segment) -> int:
+    """Return which copy of an opening a packet is; an odd caller may send more."""
+    return min(segment.copy_index, len(OPENING_SEND_OFFSETS_S) - 1)
+
+
 class ForwardedFlow(Struct, eq=False):
     """One flow, and the capacity that it occupies at its upstream.
 
@@ -63,6 +71,7 @@
     tried: list[Upstream] = []
     avoided: list[Upstream] = []
     has_guaranteed_room: bool = False
+    _copies_seen: int = 0
     _upstream: Upstream | None = None
     _busy: bool = False
     _request_end: int = 0
@@ -75,8 +84,7 @@
     @property
     def first_sent_at(self) -> float:
         """When the caller first sent this opening, in seconds."""
-        copy_index = min(self.segment.copy_index, len(OPENING_SEND_OFFSETS_S) - 1)
-        return self.arrived_at - OPENING_SEND_OFFSETS_S[copy_index]
+        return self.arrived_at - OPENING_SEND_OFFSETS_S[_copy_index(self.segment)]
 
     @property
     def due_at(self) -> float:
@@ -88,6 +96,15 @@
         """When the caller abandons its opening, in seconds."""
         return self.first_sent_at + min(OPENING_TIMEOUT_S, self.route.timeout_s)
 
+    @property
+    def only_seen_here(self) -> bool:
+        """Whether all copies of the opening came here, and to no other balancer."""
+        return self._copies_seen == _ALL_COPIES
+
+    def note_copy(self, segment: Segment) -> None:
+        """Record that a copy of the opening has come, while it waits."""
+        self._copies_seen |= 1 << _copy_index(segment)
+
     @property
     def awaits_first_answer(self) -> bool:
         """Whether exactly one upstream has been tried and has not answered yet."""
--- a/egrethook/callers/opening_queues.py
+++ b/egrethook/callers/opening_queues.py
@@ -86,6 +86,7 @@
             return
         self._counts.waited += 1
         flow.last_active_at = now
+        flow.note_copy(flow.segment)
         self._flows[flow.segment.flow] = flow
         queue.push(opening)
         self._policy.note_queued(flow, queue, now)
@@ -125,12 +126,16 @@
                 self._output.reset(flow.segment, "process leaving")
 
     def _refuse_hopeless(self, queue: OpeningQueue, now: float) -> None:
-        """Refuse what can't be served in time; drop it if its caller has given up."""
+        """Refuse what can't be served in time; drop it if its caller has given up.
+
+        It is also dropped if a copy may have gone to another balancer, which may have
+        opened the flow: a refusal would reset it.
+        """
         for hopeless in queue.take_hopeless(now):
             flow = self._waiting_flow(hopeless)
             if flow is None:
                 continue
-            if now > flow.caller_timeout_at:
+            if now > flow.caller_timeout_at or not flow.only_seen_here:
                 self._drop(flow, len(queue), now)
                 continue
             del self._flows[hopeless.flow]
