Bound what a fair queue keeps of openings that are gone

Cause: a caller whose opening was served is ahead of the others until the shared time moves on, which callers that come once never make it do. While a queue lasted, all of them were kept, and each new caller searched them all. The heap by start kept served openings until their objective, and both heaps kept the last queue's openings for ever. Change: members are searched only after their number has doubled, and those ahead of others are forgotten above 1024; the heaps are emptied with the queue, and openings that can't be demoted before their timeout aren't put there.

--- a/egrethook/callers/fair_order.py
+++ b/egrethook/callers/fair_order.py
@@ -18,6 +18,8 @@
 MAX_IDLE_MEMBERS = 64
 """Routes or callers without openings above which those are forgotten."""
 
+MAX_MEMBERS_AHEAD = 1024
+"""Number of them above which those that were served ahead of others are, too."""
 
 MIN_COST_S = 0.001
 """Lower bound of the expected cost of an opening, in seconds."""
@@ -137,6 +139,7 @@
         self._members: dict[object, _Member] = {}
         self._heap: list[tuple[float, int, float, int, _Member]] = []
         self._virtual_s = 0.0
+        self._forget_above = MAX_IDLE_MEMBERS
 
     def add(self, queued: QueuedOpening) -> None:
         """Add an opening to its member."""
@@ -203,13 +206,20 @@
         return member.start_s // self._round_s if self._round_s else member.start_s
 
     def _forget_idle(self) -> None:
-        """Forget members that have no openings and are not ahead of the others."""
-        if len(self._members) <= 2 * len(self._heap) + MAX_IDLE_MEMBERS:
+        """Forget members without openings, first those not ahead of the others.
+
+        The members are searched only after their number has doubled.
+        """
+        if len(self._members) <= self._forget_above:
             return
+        self._keep(lambda member: member.is_queued or member.start_s > self._virtual_s)
+        if len(self._members) > len(self._heap) + MAX_MEMBERS_AHEAD:
+            self._keep(lambda member: member.is_queued)
+        self._forget_above = 2 * len(self._members) + MAX_IDLE_MEMBERS
+
+    def _keep(self, is_kept: Callable[[_Member], bool]) -> None:
         self._members = {
-            key: member
-            for key, member in self._members.items()
-            if member.is_queued or member.start_s > self._virtual_s
+            key: member for key, member in self._members.items() if is_kept(member)
         }
 
 
--- a/egrethook/callers/fair_queue.py
+++ b/egrethook/callers/fair_queue.py
@@ -83,14 +83,19 @@
 
     def push(self, opening: WaitingOpening) -> None:
         """Add an opening to the queue."""
+        if not len(self):
+            self._by_start.clear()
+            self._by_give_up.clear()
         queued = QueuedOpening(opening)
         number = next(self._numbers)
-        heappush(self._by_give_up, (_give_up_at(opening), number, queued))
+        start_by, give_up_at = _start_by(opening), _give_up_at(opening)
+        heappush(self._by_give_up, (give_up_at, number, queued))
         if opening.yields:
             self._late.add(queued)
             return
         self._on_time.add(queued)
-        heappush(self._by_start, (_start_by(opening), number, queued))
+        if start_by < give_up_at:
+            heappush(self._by_start, (start_by, number, queued))
 
     def in_order(self, now: float, service_s: float) -> Iterator[WaitingOpening]:
         """Yield openings in the order in which they are to be served.
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -14,6 +14,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from egrethook.callers.fair_order import MAX_IDLE_MEMBERS, MAX_MEMBERS_AHEAD
 from egrethook.callers.fair_queue import LATE_SHARE, FairQueue
 from egrethook.callers.fair_queueing import (
     MIN_RETRIES,
@@ -130,6 +131,25 @@
     assert sorted(callers) == [1, 2, 3, 4, 5, 6]
 
 
+def test_callers_that_come_and_go_beside_a_queue_are_forgotten():
+    waiting = [opening("a", due=100.0, caller_timeout_at=300.0) for _ in range(3)]
+    queue = queue_of(*waiting)
+    served(queue, 1)
+    for number in range(10_000):
+        queue.push(opening("a", caller=number + 2, due=50.0, caller_timeout_at=1.4))
+        served(queue, 1)
+    (route,) = queue._on_time._routes._members.values()
+    assert len(route.backlog._members) < 2 * MAX_MEMBERS_AHEAD + MAX_IDLE_MEMBERS
+    assert len(queue._by_start) <= len(waiting), "none is demoted before its timeout"
+
+
+def test_queue_keeps_nothing_of_openings_that_are_gone():
+    queue = queue_of(*(opening() for _ in range(50)))
+    served(queue, 50)
+    queue.push(opening())
+    assert len(queue._by_start) == len(queue._by_give_up) == 1
+
+
 def test_late_openings_get_their_share_while_others_keep_coming():
     late = [opening("late", due=0.0, caller_timeout_at=99.0) for _ in range(50)]
     queue = queue_of(*late, *(opening("a", caller=n) for n in range(1000)))
