Serve late openings that cost more than the bound of their credit

Cause: the credit by which late openings are served while others wait is at most 0.5 s. A late opening of a route whose requests cost more never had enough, and kept all late ones behind it from their share too.

--- a/egrethook/callers/fair_queue.py
+++ b/egrethook/callers/fair_queue.py
@@ -23,7 +23,10 @@
 """
 
 MAX_LATE_CREDIT_S = 0.5
-"""Upper bound of the cost that late openings may claim at once, in seconds."""
+"""Upper bound of the cost that late openings may claim at once, in seconds.
+
+One that costs more is served as soon as this is reached, and leaves a debt.
+"""
 
 
 def _start_by(opening: WaitingOpening) -> float:
@@ -151,7 +154,7 @@
         return on_time
 
     def _is_guaranteed(self, late: QueuedOpening) -> bool:
-        return self._late_credit_s >= late.opening.cost_s
+        return self._late_credit_s >= min(late.opening.cost_s, MAX_LATE_CREDIT_S)
 
     def _marked(self, queued: QueuedOpening) -> WaitingOpening:
         """Return an opening, marked if it is late and due its guaranteed share."""
@@ -172,7 +175,10 @@
         elif queued.order is self._late:
             self._late.serve_head()
             self._on_time.charge(queued.opening)
-            self._late_credit_s = max(0.0, self._late_credit_s - cost_s)
+            self._late_credit_s -= cost_s
+            if not len(self._on_time):
+                # It took no room from others, so it leaves no debt.
+                self._late_credit_s = max(0.0, self._late_credit_s)
 
 
 def _seconds(openings: float, answers_per_s: float) -> float:
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from egrethook.callers.fair_order import MAX_IDLE_MEMBERS, MAX_MEMBERS_AHEAD
-from egrethook.callers.fair_queue import LATE_SHARE, FairQueue
+from egrethook.callers.fair_queue import LATE_SHARE, MAX_LATE_CREDIT_S, FairQueue
 from egrethook.callers.fair_queueing import (
     MIN_RETRIES,
     RETRY_WINDOW_S,
@@ -157,6 +157,16 @@
     assert routes["late"] == pytest.approx(400 * LATE_SHARE, abs=2)
 
 
+def test_costly_late_openings_get_their_share_too():
+    cost_s = 2.0 * MAX_LATE_CREDIT_S
+    late = [opening("late", due=0.0, cost_s=cost_s) for _ in range(50)]
+    queue = queue_of(*late, *(opening("a", caller=n) for n in range(4000)))
+    order = served(queue, 2000, now=1.0)
+    late_s = cost_s * sum(one.route == "late" for one in order)
+    total_s = sum(one.cost_s for one in order)
+    assert late_s / total_s == pytest.approx(LATE_SHARE, abs=0.01)
+
+
 def test_expected_cost_does_not_shorten_the_wait_of_an_opening():
     """A caller gives up its opening, not the request that runs once it is open."""
     queue = queue_of(opening(due=0.2, caller_timeout_at=1.4, cost_s=0.9))
