Count members of a lost domain as known for no longer than others

Cause: members of a failure domain that is lost are kept for 600 s, so that gossip crosses again after a cut. Readiness takes a domain as known while any member is kept: a balancer without upstreams of its own, whose other domain's balancers have all ended while its upstreams go on, stayed unready for 600 s in place of 50 s, also without the departure of domains. Change: what counts as known ends after 50 s again; digests go on for 600 s.

--- a/egrethook/balancers/gossip_members.py
+++ b/egrethook/balancers/gossip_members.py
@@ -34,9 +34,11 @@
 READERS_PER_DOMAIN = 1
 """Number of members that read the registry in each failure domain."""
 
+MEMBER_EXPIRY_S = 20 * MEMBER_TIMEOUT_S
+"""Time for which silent members are known, in seconds."""
 
 LOST_DOMAIN_EXPIRY_S = 600.0
-"""Time for which members of a failure domain that is lost are remembered, in seconds.
+"""Time for which members of a failure domain that is lost get digests, in seconds.
 
 A domain is lost while none of its members is live.
 """
@@ -129,9 +131,13 @@
         """Return the failure domains of the live members."""
         return frozenset(member.failure_domain for member in self.live(now))
 
-    def known_domains(self) -> frozenset[str]:
-        """Return the failure domains of all known members, dead ones included."""
-        return frozenset(entry.info.failure_domain for entry in self._entries.values())
+    def known_domains(self, now: float) -> frozenset[str]:
+        """Return the failure domains of members that are known, dead ones included."""
+        return frozenset(
+            entry.info.failure_domain
+            for entry in self._entries.values()
+            if now - entry.last_heard_at <= MEMBER_EXPIRY_S
+        )
 
     def live_in_own_domain(self, now: float) -> list[Address]:
         """Return the live members of the local failure domain that are not leaving."""
@@ -150,9 +156,10 @@
     def contact_age(self, domain: str, now: float) -> float | None:
         """Return the time since a datagram came from a failure domain, in seconds.
 
-        It is None if no member of the domain is known.
+        It is None if no member of the domain is remembered.
         """
-        if domain not in self.known_domains():
+        entries = self._entries.values()
+        if all(entry.info.failure_domain != domain for entry in entries):
             return None
         return now - self._contacts.get(domain, (float("-inf"), 0.0))[0]
 
@@ -166,14 +173,14 @@
         return entry is not None and entry.info.incarnation == info.incarnation
 
     def remove_expired(self, now: float) -> None:
-        """Drop members that have been silent for 20 member timeouts.
+        """Drop members that have been silent for `MEMBER_EXPIRY_S`.
 
         Those of a lost failure domain are kept for longer: it may have been cut off.
         """
         live_domains = self.live_domains(now)
         for address, entry in list(self._entries.items()):
             is_lost = entry.info.failure_domain not in live_domains
-            limit_s = LOST_DOMAIN_EXPIRY_S if is_lost else 20 * MEMBER_TIMEOUT_S
+            limit_s = LOST_DOMAIN_EXPIRY_S if is_lost else MEMBER_EXPIRY_S
             if now - entry.last_heard_at > limit_s:
                 del self._entries[address]
 
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -236,9 +236,8 @@
 
     def _heard_domains(self) -> HeardDomains:
         members = self._members
-        return HeardDomains(
-            members.live_domains(self._clock.now()), members.known_domains()
-        )
+        now = self._clock.now()
+        return HeardDomains(members.live_domains(now), members.known_domains(now))
 
     def _live_balancers(self) -> int:
         """Return the number of live balancers, or 0 before any other is heard."""
--- a/tests/departure_world.py
+++ b/tests/departure_world.py
@@ -70,7 +70,8 @@
 
     def _heard_domains(self):
         members = self.members
-        return HeardDomains(members.live_domains(self.now()), members.known_domains())
+        now = self.now()
+        return HeardDomains(members.live_domains(now), members.known_domains(now))
 
     @property
     def running(self):
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -35,6 +35,7 @@
 )
 from egrethook.balancers.gossip_members import (
     DIGEST_SAMPLE_SIZE,
+    MEMBER_EXPIRY_S,
     MEMBER_TIMEOUT_S,
     GossipMembers,
 )
@@ -91,6 +92,19 @@
     assert info.incarnation == 2
 
 
+def test_lost_domain_gets_digests_for_longer_than_it_counts_as_known():
+    """Else a balancer that relies on gossip stays unready long after others died."""
+    members = make_members(1)
+    others = [member(2), member(3), member(4, domain="zone-b")]
+    members.merge(others, 0.0)
+    for beat in range(2, 100):
+        members.merge([member(2, beat=beat), member(3, beat=beat)], float(beat))
+        members.remove_expired(float(beat))
+    assert members.known_domains(MEMBER_EXPIRY_S) == {"zone-a", "zone-b"}
+    assert members.known_domains(MEMBER_EXPIRY_S + 1.0) == {"zone-a"}
+    assert others[-1].address in members.gossip_targets(99.0)
+
+
 def test_gossip_targets_are_bounded_in_large_fleet():
     members = make_members(1)
     domains = ["zone-a", "zone-b", "zone-c"]
