Let a departed domain try again after 60 s even if gossip stays silent

Cause: a domain that had left while gossip was silent returned only when it heard the others again. If all balancers of the others ended during the cut, none was left to be heard: the domain stayed out for 600 s after the cut, while nobody served. Change: it tries again after 60 s, as it does after 10 s where gossip can't tell. In a longer cut its callers meet it for the time of one departure a minute.

--- a/egrethook/forwarding/domain_departure.py
+++ b/egrethook/forwarding/domain_departure.py
@@ -43,6 +43,12 @@
 CONFIRMED_CONTACT_S = 1.0
 """Time in which two datagrams show that a failure domain is heard, in seconds."""
 
+SILENT_RETRY_AFTER_S = 60.0
+"""Time after which a departed domain tries again although gossip is silent, in seconds.
+
+The balancers whose gossip would show the end of the cut may have ended meanwhile.
+"""
+
 DEPARTED_SENTENCE = "no upstream is reachable from this failure domain; not ready."
 """What is logged when the failure domain leaves the rotation."""
 
@@ -215,6 +221,8 @@
         departed_at = self._agreement.departed_at
         if departed_at is None or now - departed_at < RETRY_AFTER_S:
             return False
+        if now - departed_at >= SILENT_RETRY_AFTER_S:
+            return True
         known = [self._peers.contact_age(domain, now) is not None for domain in wanted]
         return not self._was_silent or not all(known)
 
--- a/tests/test_domain_departure.py
+++ b/tests/test_domain_departure.py
@@ -32,7 +32,10 @@
     route_table,
     upstream_record,
 )
-from egrethook.forwarding.domain_departure import DomainDeparture
+from egrethook.forwarding.domain_departure import (
+    SILENT_RETRY_AFTER_S,
+    DomainDeparture,
+)
 from egrethook.forwarding.forwarder import Forwarder
 from egrethook.forwarding.metrics import render_metrics
 from egrethook.forwarding.settings import ForwarderSettings
@@ -239,6 +242,20 @@
     assert all_ready(world)
 
 
+def test_domain_returns_although_the_balancers_of_the_others_died_during_the_cut():
+    """Then no gossip tells that the cut has ended, and no balancer serves anyone."""
+    world = make_world(1, 2, until=5.0)
+    world.cut_off("a")
+    world.run(CUT_AT_S + 2.0)
+    assert world.all_departed("a")
+    for domain in "bc":
+        for number in world.numbers(domain):
+            world.vms[number].up = False
+    world.heal()
+    world.run(CUT_AT_S + SILENT_RETRY_AFTER_S + 2.0)
+    assert all(agent.ready for agent in world.domain_agents("a"))
+
+
 def test_restarted_balancer_follows_its_domain_and_does_not_bring_it_back():
     world = make_world(1, 5)
     world.cut_off("a")
