--- a/egrethook/callers/fair_queue.py
+++ b/egrethook/callers/fair_queue.py
@@ -23,7 +23,10 @@
 """
 
 MAX_LATE_CREDIT_S = 0.5
-"""Upper bound of the cost that late openings may claim at once, in seconds."""
+"""Upper bound of the cost that late openings may claim at once, in seconds.
+
+One that costs more is served as soon as this is reached, and leaves a debt.
+"""
 
 
 def _start_by(opening: WaitingOpening) -> float:
@@ -83,14 +86,19 @@
 
     def push(self, opening: WaitingOpening) -> None:
         """Add an opening to the queue."""
+        if not len(self):
+            self._by_start.clear()
+            self._by_give_up.clear()
         queued = QueuedOpening(opening)
         number = next(self._numbers)
-        heappush(self._by_give_up, (_give_up_at(opening), number, queued))
+        start_by, give_up_at = _start_by(opening), _give_up_at(opening)
+        heappush(self._by_give_up, (give_up_at, number, queued))
         if opening.yields:
             self._late.add(queued)
             return
         self._on_time.add(queued)
-        heappush(self._by_start, (_start_by(opening), number, queued))
+        if start_by < give_up_at:
+            heappush(self._by_start, (start_by, number, queued))
 
     def in_order(self, now: float, service_s: float) -> Iterator[WaitingOpening]:
         """Yield openings in the order in which they are to be served.
@@ -146,7 +154,7 @@
         return on_time
 
     def _is_guaranteed(self, late: QueuedOpening) -> bool:
-        return self._late_credit_s >= late.opening.cost_s
+        return self._late_credit_s >= min(late.opening.cost_s, MAX_LATE_CREDIT_S)
 
     def _marked(self, queued: QueuedOpening) -> WaitingOpening:
         """Return an opening, marked if it is late and due its guaranteed share."""
@@ -167,7 +175,10 @@
         elif queued.order is self._late:
             self._late.serve_head()
             self._on_time.charge(queued.opening)
-            self._late_credit_s = max(0.0, self._late_credit_s - cost_s)
+            self._late_credit_s -= cost_s
+            if not len(self._on_time):
+                # It took no room from others, so it leaves no debt.
+                self._late_credit_s = max(0.0, self._late_credit_s)
 
 
 def _seconds(openings: float, answers_per_s: float) -> float:
