Explain where an opening would go, without placing it

Cause: an operator could see what had happened to a flow, but not why a process prefers one upstream to another now.

Change: 'egrethook where' asks a forwarding process on its metrics address; a choice explainer reads what the selectors compare. Limits, trials, rates and the sample get read-only counterparts; ProbeServer passes a query to handlers that want one.

Result: tests/test_where.py compares the state of the data path before and after, and the named upstream with the one chosen next, with all features.

--- a/egrethook/callers/fair_queueing.py
+++ b/egrethook/callers/fair_queueing.py
@@ -181,6 +181,12 @@
         """Return the rate at which upstreams complete requests of this balancer."""
         return self._rate.answers_per_s(service, candidates, now)
 
+    def rate_now(
+        self, service: str, candidates: Sequence[Upstream], now: float
+    ) -> float:
+        """Return the rate without taking an opening to wait; changes nothing."""
+        return self._rate.rate_now(service, candidates, now)
+
     def service_s(self, candidates: Sequence[Upstream]) -> float:
         """Return a typical service time; each opening has its own expected cost."""
         return TYPICAL_SERVICE_TIME_S
--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -150,6 +150,11 @@
         """The number of openings queued for capacity."""
         return len(self._queues)
 
+    @property
+    def queues(self) -> OpeningQueues:
+        """The openings that wait for capacity."""
+        return self._queues
+
     @property
     def view_is_fresh(self) -> bool:
         """Whether the view is fresh enough to refuse openings without a route."""
@@ -228,12 +233,19 @@
         once from another port. This balancer sees the reconnect but not the reset.
         """
         caller = flow.segment.caller[0], flow.segment.target
-        previous = self._last_openings.get(caller)
+        flow.avoided = self.avoided_by(caller, now)
         self._last_openings[caller] = flow
+
+    def avoided_by(
+        self, caller: tuple[int, IPv4Endpoint], now: float
+    ) -> list[Upstream]:
+        """Return what a caller's address and target now avoid; changes nothing."""
+        previous = self._last_openings.get(caller)
         if previous is None or not previous.awaits_first_answer:
-            return
-        if now - previous.sent_at >= self._answer_times.min_reconnect_s:
-            flow.avoided = [*previous.avoided, *previous.tried]
+            return []
+        if now - previous.sent_at < self._answer_times.min_reconnect_s:
+            return []
+        return [*previous.avoided, *previous.tried]
 
     def _handle_unknown_route(self, packet: ReceivedPacket) -> None:
         """Refuse an opening without a route, or hold it until the view is fresh."""
--- a/egrethook/callers/opening_queues.py
+++ b/egrethook/callers/opening_queues.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from egrethook.callers.flow_output import FlowOutput
 from egrethook.callers.forwarded_flow import DispatcherCounts, FlowState, ForwardedFlow
@@ -20,6 +21,24 @@
 _LOG = PartLog("flows")
 
 
+class QueueState(NamedTuple):
+    """The queue of a service, as a new opening meets it.
+
+    Parameters
+    ----------
+    waiting : int
+        Number of queued openings.
+    expected_wait_s : float
+        Time in which they are expected to be served, in seconds.
+    comes_first : bool
+        Whether they are served before a new opening.
+    """
+
+    waiting: int
+    expected_wait_s: float
+    comes_first: bool
+
+
 class OpeningQueues:
     """Queues openings while no upstream has capacity, or refuses them.
 
@@ -63,6 +82,18 @@
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._queues.values())
 
+    def state_of(self, service: str, now: float) -> QueueState:
+        """Return what a new opening of a service would meet; changes nothing."""
+        queue = self._queues.get(service)
+        if not queue:
+            return QueueState(0, 0.0, False)
+        rate = self._policy.rate_now(service, self._view.candidates(service), now)
+        return QueueState(
+            len(queue),
+            queue.expected_wait_s(rate),
+            not self._policy.lets_new_openings_pass,
+        )
+
     def send_or_add(self, flow: ForwardedFlow, now: float) -> None:
         """Send an opening at once, or queue or refuse it."""
         queue = self._queues.get(flow.service)
--- a/egrethook/callers/queueing_policy.py
+++ b/egrethook/callers/queueing_policy.py
@@ -37,6 +37,12 @@
         """Return the rate at which upstreams complete requests of this balancer."""
         ...
 
+    def rate_now(
+        self, service: str, candidates: Sequence[Upstream], now: float
+    ) -> float:
+        """Return the rate without taking an opening to wait; changes nothing."""
+        ...
+
     def service_s(self, candidates: Sequence[Upstream]) -> float:
         """Return the expected time from sending an opening to its answer."""
         ...
@@ -83,6 +89,8 @@
         """Return the rate that follows from the flows that are busy now."""
         return upstream_load(candidates, TYPICAL_SERVICE_TIME_S).answers_per_s
 
+    rate_now = answers_per_s
+
     def service_s(self, candidates: Sequence[Upstream]) -> float:
         """Return the mean service time of the flows that are busy now, in seconds."""
         load = upstream_load(candidates, TYPICAL_SERVICE_TIME_S)
--- a/egrethook/callers/service_rate.py
+++ b/egrethook/callers/service_rate.py
@@ -29,6 +29,12 @@
         """Return the rate while openings wait."""
         ...
 
+    def rate_now(
+        self, service: str, candidates: Sequence[Upstream], now: float
+    ) -> float:
+        """Return the rate without taking an opening to wait; changes nothing."""
+        ...
+
 
 class _Rate:
     """A decaying count of answers, and since when openings wait."""
@@ -72,7 +78,15 @@
         if now - rate.asked_at > QUIET_S:
             rate.queued_at = now
         rate.asked_at = now
-        if now - rate.queued_at < RATE_AVERAGE_S:
+        return self.rate_now(service, candidates, now)
+
+    def rate_now(
+        self, service: str, candidates: Sequence[Upstream], now: float
+    ) -> float:
+        """Return the rate without taking an opening to wait; changes nothing."""
+        rate = self._rates.get(service) or _Rate(now)
+        is_new = now - rate.asked_at > QUIET_S
+        if is_new or now - rate.queued_at < RATE_AVERAGE_S:
             slots = sum(upstream.record.slots for upstream in candidates)
             return slots / TYPICAL_SERVICE_TIME_S
         measured = _decayed(rate, now)
--- a/egrethook/emulator/flow_records.py
+++ b/egrethook/emulator/flow_records.py
@@ -45,6 +45,8 @@
         """Return True."""
         return True
 
+    would_admit = admits
+
     def note_sent(self, upstream: Upstream, now: float) -> None:
         """Do nothing."""
 
@@ -65,6 +67,10 @@
         """Return whether one more flow may become busy."""
         return upstream.busy_flows < self._limit
 
+    def limit_of(self, upstream: Upstream, on_time: bool) -> float:
+        """Return the constant limit."""
+        return self._limit
+
     def note_answer(
         self, upstream: Upstream, service_s: float, objective_s: float, now: float
     ) -> None:
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -42,7 +42,11 @@
     upstream_record,
 )
 from egrethook.emulator.packets import Packet
-from egrethook.forwarding.data_path import CostAwarePlacement, build_data_path
+from egrethook.forwarding.data_path import (
+    CostAwarePlacement,
+    DataPath,
+    build_data_path,
+)
 from egrethook.forwarding.features import Feature
 from egrethook.platform.packet_header import (
     ACK,
@@ -108,6 +112,7 @@
     subsets: PreferredSubsets | None = None
     waiting_packets: list[bytes] = field(default_factory=list)
     cost_aware: CostAwarePlacement | None = None
+    data_path: DataPath | None = None
 
 
 def _default_limit() -> FlowLimit:
@@ -215,6 +220,7 @@
             name,
             subsets=data_path.subsets,
             cost_aware=data_path.cost_aware,
+            data_path=data_path,
         )
         if self._shares_health:
             health.set_listener(partial(self._share_health, vm))
--- a/egrethook/exceptions.py
+++ b/egrethook/exceptions.py
@@ -74,6 +74,13 @@
     exit_status = 4
 
 
+class ForwarderUnreachableError(EgrethookError):
+    """A forwarding process whose metrics address does not answer."""
+
+    code = "E108"
+    exit_status = 4
+
+
 class BadMessageError(EgrethookError):
     """A datagram or frame that can't be decoded or has a value out of bounds."""
 
@@ -146,6 +153,20 @@
     exit_status = 1
 
 
+class UnknownRouteError(EgrethookError):
+    """A route that a forwarding process does not know."""
+
+    code = "E504"
+    exit_status = 1
+
+
+class ExplanationError(EgrethookError):
+    """A process that does not explain its choices, or not yet."""
+
+    code = "E505"
+    exit_status = 4
+
+
 def error_classes() -> list[type[EgrethookError]]:
     """Return the exception classes sorted by code."""
     return sorted(EgrethookError.__subclasses__(), key=lambda cls: cls.code)
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -17,6 +17,12 @@
 from egrethook.discovery.view import ForwardingView
 from egrethook.forwarding.features import Feature
 from egrethook.upstreams.cold_limit import ColdAdmission
+from egrethook.upstreams.explanation import (
+    CandidateCosts,
+    ChoiceExplainer,
+    FinishCosts,
+    FlowCosts,
+)
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.learned_speeds import LearnedSpeeds
@@ -53,6 +59,8 @@
 
     Parameters
     ----------
+    explainer : ChoiceExplainer
+        Explains where an opening would go.
     outliers : OutlierDetector or None
         Finds upstreams that fail requests.
     cost_aware : CostAwarePlacement or None
@@ -66,6 +74,7 @@
     dispatcher: FlowDispatcher
     health: PassiveHealth
     selector: UpstreamSelector
+    explainer: ChoiceExplainer
     outliers: OutlierDetector | None = None
     cost_aware: CostAwarePlacement | None = None
     subsets: PreferredSubsets | None = None
@@ -112,16 +121,21 @@
     subsets = outliers = cost_aware = queueing = None
     if Feature.SHARED_SPEEDS in features:
         subsets = PreferredSubsets(domain, view.accepts_flows)
-    cost: PlacementCost = LeastFlowsCost(domain, subsets)
+    flow_cost = LeastFlowsCost(domain, subsets)
+    cost: PlacementCost = flow_cost
+    shown_costs: CandidateCosts = FlowCosts(flow_cost)
     if Feature.COST_AWARE_PLACEMENT in features:
         cost_aware = _cost_aware_placement(domain, subsets)
         cost = cost_aware.comparison
+        shown_costs = FinishCosts(cost_aware.comparison)
         learners += [cost_aware.speeds, cost_aware.costs]
     starts_apart = subsets is not None or cost_aware is not None
     first_round = crc32(name.encode()) if starts_apart else 0
-    selector: UpstreamSelector = LowestCostSelector(
+    lowest_cost = LowestCostSelector(
         domain, limit, cold_admission, cost, subsets, first_round
     )
+    selector: UpstreamSelector = lowest_cost
+    slow_start = None
     if Feature.OUTLIER_EJECTION in features:
         outliers = OutlierDetector(name, lambda service: len(view.candidates(service)))
         listeners.append(outliers)
@@ -132,6 +146,9 @@
         slow_start = SlowStartSelector(selector, live_balancers)
         listeners.append(slow_start)
         selector = slow_start
+    explainer = ChoiceExplainer(
+        lowest_cost, limit, cold_admission, shown_costs, subsets, outliers, slow_start
+    )
     counts = DispatcherCounts()
     if Feature.FAIR_QUEUEING in features:
         rate, costs = SmoothedServiceRate(), MeasuredCost()
@@ -150,7 +167,16 @@
         queueing,
     )
     speeds = cost_aware.speeds if cost_aware and subsets else None
-    return DataPath(dispatcher, health, selector, outliers, cost_aware, subsets, speeds)
+    return DataPath(
+        dispatcher,
+        health,
+        selector,
+        explainer,
+        outliers,
+        cost_aware,
+        subsets,
+        speeds,
+    )
 
 
 def _cost_aware_placement(
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from egrethook.forwarding.settings import ForwarderSettings
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
+from egrethook.upstreams.explanation import ChoiceExplainer
 from egrethook.upstreams.flow_limit import AimdFlowLimit
 from egrethook.upstreams.health import HealthListener, HealthObservation
 from egrethook.upstreams.outliers import OutlierDetector
@@ -142,6 +143,7 @@
         )
         self._health = data_path.health
         self._dispatcher = data_path.dispatcher
+        self._explainer = data_path.explainer
         self._outliers = data_path.outliers
         self._cost_aware = data_path.cost_aware
         self._subsets = data_path.subsets
@@ -190,6 +192,11 @@
         """Assigns flows to upstreams and forwards their packets."""
         return self._dispatcher
 
+    @property
+    def explainer(self) -> ChoiceExplainer:
+        """Explains where openings would go."""
+        return self._explainer
+
     @property
     def outliers(self) -> OutlierDetector | None:
         """Finds upstreams that fail requests; None if switched off."""
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -287,7 +287,25 @@
     async def _serve_metrics(self) -> None:
         host = Address.parse(self._settings.packets).host
         address = Address(host, self._settings.metrics_port)
-        await ProbeServer(address, {"/metrics": self._metrics_response}).run()
+        await ProbeServer(
+            address,
+            {"/metrics": self._metrics_response},
+            {"/where": self._where_response},
+        ).run()
+
+    def _where_response(self, query: str) -> ProbeAnswer:
+        # Few processes are ever asked, so it is imported on the first request.
+        with ImportInterleaver(self._forwarder.handle_ready_packets):
+            from egrethook.forwarding.where import answer_where
+
+        forwarder = self._forwarder
+        return answer_where(
+            query,
+            forwarder.view,
+            forwarder.dispatcher,
+            forwarder.explainer,
+            self._clock.now(),
+        )
 
     def _metrics_response(self) -> ProbeAnswer:
         # The metrics library loads slowly, so it is imported on the first request.
--- a/egrethook/operators/commands.py
+++ b/egrethook/operators/commands.py
@@ -41,6 +41,7 @@
 from egrethook.operators.options import FAULTS_EXIT_STATUS, number_option
 from egrethook.operators.reference import check_pages, write_pages
 from egrethook.operators.trial_commands import PlotCommand, SoakCommand
+from egrethook.operators.where_command import WhereCommand
 from egrethook.published.documents import Document, IndexDocument
 from egrethook.settings import load_settings, read_text
 from egrethook.version import __version__
@@ -353,6 +354,7 @@
     DomainCommand,
     DrainCommand,
     ExplainCommand,
+    WhereCommand,
     SoakCommand,
     PlotCommand,
     ReferenceCommand,
--- a/egrethook/operators/probes.py
+++ b/egrethook/operators/probes.py
@@ -22,6 +22,7 @@
 
 _REASON_PHRASES = {
     200: "OK",
+    400: "Bad Request",
     404: "Not Found",
     500: "Internal Server Error",
     503: "Service Unavailable",
@@ -48,14 +49,17 @@
 
 Handler = Callable[[], ProbeAnswer]
 
+QueryHandler = Callable[[str], ProbeAnswer]
+"""Gets the query of a request, still percent-encoded; empty if there is none."""
+
 
 class _RequestReader:
-    """Parses the requests on one connection and collects their paths."""
+    """Parses the requests on one connection and collects their targets."""
 
     def __init__(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
-        self._paths: list[str] = []
+        self._targets: list[str] = []
         self._is_last = False
 
     @property
@@ -72,13 +76,12 @@
         self._url += url
 
     def on_message_complete(self) -> None:
-        """Add the path of a complete request (parser callback)."""
-        path = self._url.partition(b"?")[0]
-        self._paths.append(path.decode("latin-1"))
+        """Add the target of a complete request (parser callback)."""
+        self._targets.append(self._url.decode("latin-1"))
         self._is_last = not self._parser.should_keep_alive()
 
     def feed(self, data: bytes) -> list[str]:
-        """Parse received data and return the paths of the requests it completes.
+        """Parse received data and return the targets of the requests it completes.
 
         A request to switch protocols is answered like any other, over HTTP/1.1, and
         is the last one on its connection.
@@ -88,8 +91,8 @@
         except httptools.HttpParserUpgrade:
             # Not a subclass of HttpParserError.
             self._is_last = True
-        paths, self._paths = self._paths, []
-        return paths
+        targets, self._targets = self._targets, []
+        return targets
 
 
 class ProbeServer:
@@ -104,11 +107,19 @@
         Where to listen.
     handlers : mapping of str to callable
         The handler of each path; other paths get status 404.
+    query_handlers : mapping of str to callable, optional
+        The handler of each path whose query counts.
     """
 
-    def __init__(self, address: Address, handlers: Mapping[str, Handler]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        handlers: Mapping[str, Handler],
+        query_handlers: Mapping[str, QueryHandler] | None = None,
+    ) -> None:
         self._address = address
         self._handlers = handlers
+        self._query_handlers = query_handlers or {}
         self._is_failing = False
         self._connection_errors = ErrorBoundary(_LOG, "connection")
         self._handler_errors = ErrorBoundary(_LOG, "handler")
@@ -164,15 +175,17 @@
         while not reader.is_last:
             with anyio.fail_after(IDLE_TIMEOUT_S):
                 data = await stream.receive()
-            for path in reader.feed(data):
-                await stream.send(self._response(path))
+            for target in reader.feed(data):
+                await stream.send(self._response(target))
 
-    def _response(self, path: str) -> bytes:
-        handler = self._handlers.get(path)
-        if handler is None:
-            return _encode(ProbeAnswer(404))
+    def _response(self, target: str) -> bytes:
+        path, _, query = target.partition("?")
         try:
-            return _encode(handler())
+            if path in self._query_handlers:
+                return _encode(self._query_handlers[path](query))
+            if path in self._handlers:
+                return _encode(self._handlers[path]())
+            return _encode(ProbeAnswer(404))
         except Exception as error:
             self._handler_errors.note(error, path=path)
             return _encode(ProbeAnswer(500))
--- a/egrethook/token_bucket.py
+++ b/egrethook/token_bucket.py
@@ -24,11 +24,18 @@
 
     def has_token(self, now: float) -> bool:
         """Return whether a token is available."""
-        elapsed = max(0.0, now - self._updated_at)
-        self._tokens = min(self._burst, self._tokens + elapsed * self.rate_per_s)
+        self._tokens = self._tokens_at(now)
         self._updated_at = now
         return self._tokens >= 1.0
 
+    def would_have_token(self, now: float) -> bool:
+        """Return what `has_token` would, but change nothing."""
+        return self._tokens_at(now) >= 1.0
+
+    def _tokens_at(self, now: float) -> float:
+        elapsed = max(0.0, now - self._updated_at)
+        return min(self._burst, self._tokens + elapsed * self.rate_per_s)
+
     def spend(self) -> None:
         """Remove a token."""
         self._tokens -= 1.0
--- a/egrethook/upstreams/cold_limit.py
+++ b/egrethook/upstreams/cold_limit.py
@@ -37,6 +37,10 @@
         """Return whether an opening may be sent now."""
         ...
 
+    def would_admit(self, upstream: Upstream, now: float) -> bool:
+        """Return what `admits` would, but change nothing."""
+        ...
+
     def note_sent(self, upstream: Upstream, now: float) -> None:
         """Count an opening that was sent."""
         ...
@@ -84,6 +88,18 @@
             allowance.checked_at = now
         return allowance.may_send and allowance.bucket.has_token(now)
 
+    def would_admit(self, upstream: Upstream, now: float) -> bool:
+        """Return what `admits` would, but change nothing."""
+        limit = self._limits().get(upstream.service)
+        if not upstream.is_cold(now) or limit is None or limit.rate_per_s <= 0.0:
+            return True
+        allowance = self._allowances.get(upstream.token)
+        if allowance is None:
+            return self._may_send(upstream)
+        if now - allowance.checked_at >= SENDER_CHECK_INTERVAL_S:
+            return self._may_send(upstream) and allowance.bucket.would_have_token(now)
+        return allowance.may_send and allowance.bucket.would_have_token(now)
+
     def note_sent(self, upstream: Upstream, now: float) -> None:
         """Count an opening that was sent."""
         allowance = self._allowances.get(upstream.token)
--- a/egrethook/upstreams/flow_limit.py
+++ b/egrethook/upstreams/flow_limit.py
@@ -14,7 +14,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from typing import Protocol
 
 from egrethook.upstreams.upstream import Upstream
@@ -69,6 +68,10 @@
         """
         ...
 
+    def limit_of(self, upstream: Upstream, on_time: bool) -> float:
+        """Return the limit, in busy flows; below 1.0 it means pauses between flows."""
+        ...
+
     def note_answer(
         self, upstream: Upstream, service_s: float, objective_s: float, now: float
     ) -> None:
@@ -88,10 +91,8 @@
 
     def __init__(self, initial_limit: int) -> None:
         self._initial_limit = initial_limit
-        self._prompt_shares: defaultdict[str, float] = defaultdict(lambda: 1.0)
-        self._late_shares: defaultdict[str, float] = defaultdict(
-            lambda: INITIAL_LATE_SHARE
-        )
+        self._prompt_shares: dict[str, float] = {}
+        self._late_shares: dict[str, float] = {}
 
     @property
     def initial_limit(self) -> int:
@@ -104,10 +105,7 @@
 
     def admits(self, upstream: Upstream, now: float, on_time: bool) -> bool:
         """Return whether one more flow may become busy."""
-        lower_bound = self._lower_bound(upstream.service)
-        limit = max(self._limit(upstream), lower_bound)
-        if not on_time:
-            limit = max(limit * self._late_shares[upstream.service], lower_bound)
+        limit = self.limit_of(upstream, on_time)
         if limit >= 1.0:
             return upstream.busy_flows < int(limit)
         if upstream.busy_flows:
@@ -115,6 +113,16 @@
         pause_s = max(upstream.service_time_s, ALWAYS_PROMPT_S) / limit
         return now - upstream.last_served_at >= pause_s
 
+    def limit_of(self, upstream: Upstream, on_time: bool) -> float:
+        """Return the limit, in busy flows; below 1.0 it means pauses between flows."""
+        service = upstream.service
+        lower_bound = self._lower_bound(service)
+        limit = max(self._limit(upstream), lower_bound)
+        if on_time:
+            return limit
+        late_share = self._late_shares.get(service, INITIAL_LATE_SHARE)
+        return max(limit * late_share, lower_bound)
+
     def note_answer(
         self, upstream: Upstream, service_s: float, objective_s: float, now: float
     ) -> None:
@@ -133,10 +141,10 @@
             upstream.flow_limit = min(upper_bound, limit + min(limit, 1.0 / limit))
 
     def _update_shares(self, service: str, is_prompt: bool) -> None:
-        prompt_share = self._prompt_shares[service]
+        prompt_share = self._prompt_shares.get(service, 1.0)
         prompt_share += PROMPT_SHARE_WEIGHT * (is_prompt - prompt_share)
         self._prompt_shares[service] = prompt_share
-        late_share = self._late_shares[service]
+        late_share = self._late_shares.get(service, INITIAL_LATE_SHARE)
         if is_prompt:
             late_share = min(1.0, late_share + LATE_SHARE_INCREASE)
         else:
@@ -149,6 +157,6 @@
         return upstream.flow_limit
 
     def _lower_bound(self, service: str) -> float:
-        if self._prompt_shares[service] < MIN_PROMPT_SHARE:
+        if self._prompt_shares.get(service, 1.0) < MIN_PROMPT_SHARE:
             return 1.0
         return MIN_FLOW_LIMIT
--- a/egrethook/upstreams/outliers.py
+++ b/egrethook/upstreams/outliers.py
@@ -385,7 +385,24 @@
     def trial_for(
         self, candidates: Sequence[Upstream], opening: Opening
     ) -> Upstream | None:
-        """Return an upstream that is due for a trial with this opening, if any."""
+        """Return an upstream that gets this opening as a trial, if one is due."""
+        ejection = self._due_trial(candidates, opening)
+        if ejection is None:
+            return None
+        ejection.note_trial(self._name, opening.now)
+        self._counts.trials += 1
+        return ejection.upstream
+
+    def next_trial(
+        self, candidates: Sequence[Upstream], opening: Opening
+    ) -> Upstream | None:
+        """Return what `trial_for` would, but change nothing."""
+        ejection = self._due_trial(candidates, opening)
+        return ejection.upstream if ejection is not None else None
+
+    def _due_trial(
+        self, candidates: Sequence[Upstream], opening: Opening
+    ) -> Ejection | None:
         if opening.tried or not self._ejections:
             return None
         idempotent, now = opening.route.idempotent, opening.now
@@ -398,9 +415,7 @@
                 and not upstream.is_ejected(now)
                 and not upstream.is_cold(now)
             ):
-                ejection.note_trial(self._name, now)
-                self._counts.trials += 1
-                return upstream
+                return ejection
         return None
 
     def _upkeep(self, now: float) -> None:
--- a/egrethook/upstreams/outstanding.py
+++ b/egrethook/upstreams/outstanding.py
@@ -78,7 +78,8 @@
 
     def unit(self, now: float) -> float:
         """Return what one second of work counts for now."""
-        return math.exp((now - self._started_at) / PLACED_WORK_TIME_S)
+        elapsed_s = min(now - self._started_at, MAX_AGE_S)
+        return math.exp(elapsed_s / PLACED_WORK_TIME_S)
 
     def add(self, upstream: Upstream, work_s: float, now: float) -> None:
         """Record work that is placed at an upstream."""
--- a/egrethook/upstreams/placement.py
+++ b/egrethook/upstreams/placement.py
@@ -112,6 +112,9 @@
         For earlier silence, and for outstanding work above the objective.
     preference_s : float
         For an upstream that other balancers prefer.
+    compared_s : float
+        What the choice compares: `finish_s`, parts of which it keeps for up to
+        `SUMMARY_LIFE_S`.
     """
 
     upstream: Upstream
@@ -123,6 +126,7 @@
     domain_s: float
     penalty_s: float
     preference_s: float
+    compared_s: float
 
     @property
     def finish_s(self) -> float:
@@ -329,14 +333,16 @@
     def estimates(
         self, pool: Sequence[Upstream], opening: Opening
     ) -> list[CandidateEstimate]:
-        """Return what the cost of each candidate consists of.
+        """Return what the cost of each candidate consists of; changes nothing.
 
         Parameters
         ----------
         pool : sequence of Upstream
             The candidates; not empty.
         """
-        context = self._context(pool, opening)
+        cost_s = self._costs.expected_s(opening.route, pool[0].service)
+        summary = self._valid_summary(pool, cost_s, opening.now)
+        context = _context_of(opening, cost_s, summary)
         return [self._estimate(upstream, context) for upstream in pool]
 
     def note_placed(self, upstream: Upstream, opening: Opening) -> None:
@@ -355,23 +361,25 @@
         cost_s = self._costs.expected_s(opening.route, service)
         if self._placed.renew_if_due(now):
             self._summaries.clear()
-        summary = self._summaries.get(service)
-        if summary is None or now >= summary.valid_until:
-            one_request = cost_s * self._placed.unit(now)
-            summary = _PoolSummary(pool, self._placed.amounts, one_request, now)
-            self._summaries[service] = summary
-        return _Context(
-            now,
-            cost_s,
-            opening.route.objective_s,
-            summary,
-            _unanswered(opening),
-        )
+        summary = self._summaries[service] = self._valid_summary(pool, cost_s, now)
+        return _context_of(opening, cost_s, summary)
+
+    def _valid_summary(
+        self, pool: Sequence[Upstream], cost_s: float, now: float
+    ) -> _PoolSummary:
+        """Return the summary that is kept, or a new one in place of an old one."""
+        summary = self._summaries.get(pool[0].service)
+        if summary is not None and now < summary.valid_until:
+            return summary
+        one_request = cost_s * self._placed.unit(now)
+        return _PoolSummary(pool, self._placed.amounts, one_request, now)
 
     def _estimate(self, upstream: Upstream, context: _Context) -> CandidateEstimate:
         weights = self._weights(upstream, context)
         load = self._load(upstream, context)
         cost_s = context.cost_s
+        silence_s = context.silence_s(upstream)
+        total = context.summary.totals.get(upstream.token, weights.total)
         return CandidateEstimate(
             upstream=upstream,
             time_factor=weights.time_factor,
@@ -380,8 +388,9 @@
             wait_s=load.wait_s,
             crowding_s=weights.crowding * cost_s,
             domain_s=weights.domain * cost_s,
-            penalty_s=load.penalty_s + context.silence_s(upstream),
+            penalty_s=load.penalty_s + silence_s,
             preference_s=weights.preference * cost_s,
+            compared_s=cost_s * total + load.cost_s + silence_s,
         )
 
     def _weights(self, upstream: Upstream, context: _Context) -> _Weights:
@@ -412,6 +421,17 @@
         return _Load(outstanding_s, wait_s, penalty_s)
 
 
+def _context_of(opening: Opening, cost_s: float, summary: _PoolSummary) -> _Context:
+    """Return what is the same for all candidates of an opening."""
+    return _Context(
+        opening.now,
+        cost_s,
+        opening.route.objective_s,
+        summary,
+        _unanswered(opening),
+    )
+
+
 def _unanswered(opening: Opening) -> Collection[Upstream]:
     """Return the upstreams that left the opening, or an earlier one, unanswered."""
     if not opening.tried and not opening.avoided:
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -141,7 +141,11 @@
     ) -> Upstream | None:
         """Return the best candidate with room, or None if none has room."""
         self._round += 1
-        chosen = self._best(self._sample(candidates), opening)
+        sample = candidates
+        if len(candidates) > LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
+            split = self._splits[candidates[0].service] = self._split(candidates)
+            sample = self._sample(split, self._round)
+        chosen = self._best(sample, opening)
         if chosen is None and len(candidates) > LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
             chosen = self._best(candidates, opening)
         if chosen is not None:
@@ -149,22 +153,33 @@
             self._cost.note_placed(chosen, opening)
         return chosen
 
-    def _sample(self, candidates: Sequence[Upstream]) -> Sequence[Upstream]:
-        """Return all candidates, or a rotating sample of a large number."""
+    def next_sample(self, candidates: Sequence[Upstream]) -> Sequence[Upstream]:
+        """Return what the next opening compares first; changes nothing."""
         if len(candidates) <= LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
             return candidates
-        _, local, remote = self._split(candidates)
+        return self._sample(self._split(candidates), self._round + 1)
+
+    def next_order(self, available: Sequence[Upstream]) -> list[Upstream]:
+        """Return the order in which the next opening compares; changes nothing.
+
+        The first of equal candidates is chosen.
+        """
+        return _rotated(available, self._round + 1)
+
+    def _sample(self, split: _DomainSplit, round_number: int) -> Sequence[Upstream]:
+        """Return a rotating sample of a large number of candidates."""
+        candidates, local, remote = split
         preference = self._preference
         return [
             *(preference.preferred(candidates[0].service) if preference else ()),
-            *_rotating_slice(local, self._round, LOCAL_SAMPLE_SIZE),
-            *_rotating_slice(remote, self._round, REMOTE_SAMPLE_SIZE),
+            *_rotating_slice(local, round_number, LOCAL_SAMPLE_SIZE),
+            *_rotating_slice(remote, round_number, REMOTE_SAMPLE_SIZE),
         ]
 
     def _split(self, candidates: Sequence[Upstream]) -> _DomainSplit:
         """Return the candidates split by failure domain.
 
-        The split is cached for each service until the candidate list is replaced.
+        The last split of the service is used until the candidate list is replaced.
         """
         service = candidates[0].service
         known = self._splits.get(service)
@@ -175,7 +190,7 @@
             remote = [
                 upstream for upstream in candidates if upstream.domain != self._domain
             ]
-            known = self._splits[service] = _DomainSplit(candidates, local, remote)
+            known = _DomainSplit(candidates, local, remote)
         return known
 
     def _best(
@@ -196,10 +211,8 @@
         ]
         if not available:
             return None
-        # Rotate the order so that candidates of equal cost take turns.
-        start = self._round % len(available)
         cost = self._cost.for_opening(pool, opening)
-        return min(available[start:] + available[:start], key=cost)
+        return min(_rotated(available, self._round), key=cost)
 
     def _first_unchecked(
         self, upstreams: Iterable[Upstream], now: float
@@ -216,6 +229,12 @@
         return None
 
 
+def _rotated(available: Sequence[Upstream], round_number: int) -> list[Upstream]:
+    """Return the candidates so that those of equal cost take turns."""
+    start = round_number % len(available)
+    return [*available[start:], *available[:start]]
+
+
 def _rotating_slice(
     upstreams: list[Upstream], round_number: int, limit: int
 ) -> list[Upstream]:
--- a/egrethook/upstreams/slow_start.py
+++ b/egrethook/upstreams/slow_start.py
@@ -76,6 +76,19 @@
             return None
         return self._selector.choose(candidates, opening)
 
+    def holds_back(self, candidates: Sequence[Upstream], now: float) -> bool:
+        """Return whether the window is full for a new opening; changes nothing."""
+        window = self._windows.get(candidates[0].service) or _Window(now)
+        age_s = now - window.started_at
+        if window.has_ended or age_s > SLOW_START_S:
+            return False
+        slots = sum(upstream.record.slots for upstream in candidates)
+        flows = window.flows
+        balancers = self._live_balancers()
+        if age_s > FLEET_HEARD_AFTER_S and not window.has_share and balancers:
+            flows = max(flows, slots / balancers)
+        return sum(one.busy_flows for one in candidates) >= flows and flows < slots
+
     def request_answered(self, outcome: RequestOutcome, now: float) -> None:
         """Open the window further, faster if the answer was prompt."""
         window = self._windows.get(outcome.upstream.service)
