Test 'where' against a process with a registry; keep the limit check short

Cause: the read-only limit had added a call to each check of a candidate.

Change: the check reads the limit in place again; the registry that closes each connection moves to the process harness, its test unchanged in what it checks.

--- a/egrethook/upstreams/flow_limit.py
+++ b/egrethook/upstreams/flow_limit.py
@@ -105,7 +105,10 @@
 
     def admits(self, upstream: Upstream, now: float, on_time: bool) -> bool:
         """Return whether one more flow may become busy."""
-        limit = self.limit_of(upstream, on_time)
+        lower_bound = self._lower_bound(upstream.service)
+        limit = max(self._limit(upstream), lower_bound)
+        if not on_time:
+            limit = self._late_limit(upstream.service, limit, lower_bound)
         if limit >= 1.0:
             return upstream.busy_flows < int(limit)
         if upstream.busy_flows:
@@ -115,13 +118,11 @@
 
     def limit_of(self, upstream: Upstream, on_time: bool) -> float:
         """Return the limit, in busy flows; below 1.0 it means pauses between flows."""
-        service = upstream.service
-        lower_bound = self._lower_bound(service)
+        lower_bound = self._lower_bound(upstream.service)
         limit = max(self._limit(upstream), lower_bound)
-        if on_time:
-            return limit
-        late_share = self._late_shares.get(service, INITIAL_LATE_SHARE)
-        return max(limit * late_share, lower_bound)
+        return (
+            limit if on_time else self._late_limit(upstream.service, limit, lower_bound)
+        )
 
     def note_answer(
         self, upstream: Upstream, service_s: float, objective_s: float, now: float
@@ -156,6 +157,10 @@
             return max(self._initial_limit, upstream.record.slots)
         return upstream.flow_limit
 
+    def _late_limit(self, service: str, limit: float, lower_bound: float) -> float:
+        late_share = self._late_shares.get(service, INITIAL_LATE_SHARE)
+        return max(limit * late_share, lower_bound)
+
     def _lower_bound(self, service: str) -> float:
         if self._prompt_shares.get(service, 1.0) < MIN_PROMPT_SHARE:
             return 1.0
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import os
 import resource
@@ -11,6 +12,8 @@
 import time
 from contextlib import contextmanager
 from dataclasses import dataclass
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from threading import Thread
 from typing import Any
 
 import pytest
@@ -19,6 +22,52 @@
 
 HOST = "127.0.0.1"
 
+ROUTES = {
+    "key": "op/config",
+    "revision": 3,
+    "value": base64.b64encode(
+        b'{"version": 1, "services": [], "routes": [{"name": "r", "service": "s",'
+        b' "host": "198.18.0.1", "prefix": "/443/"}]}'
+    ).decode(),
+}
+
+UPSTREAM = {
+    "key": "servers/i-0a",
+    "revision": 4,
+    "value": base64.b64encode(
+        b'{"service": "s", "address": "127.0.0.1:9", "zone": "zone-a", "version": "v",'
+        b' "concurrency": 2, "state": "ready", "warmupLeftMs": 0, "sequence": 1}'
+    ).decode(),
+}
+
+
+@contextmanager
+def closing_registry(entries, version="HTTP/1.1"):
+    """Serve entries as a registry that closes each connection; yield its address."""
+
+    class Registry(BaseHTTPRequestHandler):
+        protocol_version = version
+
+        def do_GET(self):
+            later_page = "after=servers" in self.path
+            items = [] if later_page else entries
+            body = {"items": items, "events": [], "currentRev": 9}
+            body["hasMore"] = not later_page
+            self.send_response(200)
+            self.send_header("Connection", "close")
+            self.end_headers()
+            self.wfile.write(json.dumps(body).encode())
+
+        def log_message(self, *args):
+            pass
+
+    with ThreadingHTTPServer((HOST, 0), Registry) as registry:
+        Thread(target=registry.serve_forever).start()
+        try:
+            yield f"{HOST}:{registry.server_port}"
+        finally:
+            registry.shutdown()
+
 
 def free_port():
     with socket.socket() as sock:
--- a/tests/test_process_survival.py
+++ b/tests/test_process_survival.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import base64
 import json
 import os
 import socket
@@ -14,12 +13,13 @@
 import subprocess
 import sys
 import time
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from threading import Thread
 
 import pytest
 from process_harness import (
     HOST,
+    ROUTES,
+    UPSTREAM,
+    closing_registry,
     forwarder_settings,
     forwarding_process,
     free_port,
@@ -38,24 +38,6 @@
 )
 """A probe of an HTTP client that offers HTTP/2, as some do by default."""
 
-ROUTES = {
-    "key": "op/config",
-    "revision": 3,
-    "value": base64.b64encode(
-        b'{"version": 1, "services": [], "routes": [{"name": "r", "service": "s",'
-        b' "host": "198.18.0.1", "prefix": "/443/"}]}'
-    ).decode(),
-}
-
-UPSTREAM = {
-    "key": "servers/i-0a",
-    "revision": 4,
-    "value": base64.b64encode(
-        b'{"service": "s", "address": "127.0.0.1:9", "zone": "zone-a", "version": "v",'
-        b' "concurrency": 2, "state": "ready", "warmupLeftMs": 0, "sequence": 1}'
-    ).decode(),
-}
-
 CONNECT_REQUEST = b"CONNECT vm:1 HTTP/1.1\r\nHost: vm\r\n\r\n"
 
 
@@ -210,31 +192,11 @@
 @pytest.mark.parametrize("version", ["HTTP/1.0", "HTTP/1.1"])
 def test_registry_that_closes_each_connection_is_read(tmp_path, version):
     """Guards against a process that never gets ready beside such a registry."""
-
-    class Registry(BaseHTTPRequestHandler):
-        protocol_version = version
-
-        def do_GET(self):
-            later_page = "after=servers" in self.path
-            items = [] if later_page else [ROUTES, UPSTREAM]
-            body = {"items": items, "events": [], "currentRev": 9}
-            body["hasMore"] = not later_page
-            self.send_response(200)
-            self.send_header("Connection", "close")
-            self.end_headers()
-            self.wfile.write(json.dumps(body).encode())
-
-        def log_message(self, *args):
-            pass
-
-    with ThreadingHTTPServer((HOST, 0), Registry) as registry:
-        Thread(target=registry.serve_forever).start()
-        try:
-            address = f"{HOST}:{registry.server_port}"
-            with forwarding_process(tmp_path, registry=address) as forwarder:
-                wait_for_status(forwarder.probes, 200)
-                read_until(forwarder.process, b"libraries loaded")
-                read_until(forwarder.process, b"registry reachable")
-                wait_for_status(forwarder.probes, 200)
-        finally:
-            registry.shutdown()
+    with (
+        closing_registry([ROUTES, UPSTREAM], version) as address,
+        forwarding_process(tmp_path, registry=address) as forwarder,
+    ):
+        wait_for_status(forwarder.probes, 200)
+        read_until(forwarder.process, b"libraries loaded")
+        read_until(forwarder.process, b"registry reachable")
+        wait_for_status(forwarder.probes, 200)
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -13,7 +13,15 @@
 import msgspec
 import pytest
 from cleo.testers.command_tester import CommandTester
-from process_harness import forwarding_process, free_port, http_status, wait_for_status
+from process_harness import (
+    ROUTES,
+    UPSTREAM,
+    closing_registry,
+    forwarding_process,
+    free_port,
+    http_status,
+    wait_for_status,
+)
 
 from egrethook.discovery.records import ColdLimit
 from egrethook.emulator.flow_records import SERVICE, upstream_record
@@ -39,6 +47,7 @@
 )
 from egrethook.upstreams.upstream import Upstream
 
+FEATURES = [feature.value for feature in Feature]
 FEATURE_SETS = ((), (Feature.COST_AWARE_PLACEMENT,), tuple(Feature))
 CACHES = {"_candidates", "_candidates_version", "_tail_counts", "_tail_sums_s"}
 """Lists that are derived on demand from records and from counted samples."""
@@ -281,6 +290,7 @@
         ask_where(f"127.0.0.1:{free_port()}", "route")
 
 
+@pytest.mark.end_to_end
 def test_a_real_process_answers_on_its_metrics_address(tmp_path):
     with forwarding_process(tmp_path, first_line=b"process starts") as process:
         wait_for_status(process.metrics, 404)
@@ -291,6 +301,22 @@
         assert process.is_running()
 
 
+@pytest.mark.end_to_end
+def test_a_real_process_explains_a_route_of_its_registry(tmp_path):
+    with (
+        closing_registry([ROUTES, UPSTREAM]) as registry,
+        forwarding_process(tmp_path, registry=registry, features=FEATURES) as process,
+    ):
+        wait_for_status(process.probes, 200)
+        wait_for_status(process.metrics, 404)
+        body = ask_where(str(process.metrics), "198.18.0.1:443", "100.64.0.7")
+        answer = msgspec.json.decode(body, type=WhereAnswer)
+        assert answer.services[0].candidates[0].upstream.endswith("i-0a")
+        assert answer.services[0].unit == "s"
+        with pytest.raises(UnknownRouteError):
+            ask_where(str(process.metrics), "198.18.0.1:1")
+
+
 def test_an_older_process_has_no_such_page(monkeypatch):
     response = where_command.httpx.Response(404)
     assert isinstance(where_command._error_of(response), ExplanationError)
