--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -142,7 +142,11 @@
     ) -> Upstream | None:
         """Return the best candidate with room, or None if none has room."""
         self._round += 1
-        chosen = self._best(self._sample(candidates), opening)
+        sample = candidates
+        if len(candidates) > LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
+            split = self._splits[candidates[0].service] = self._split(candidates)
+            sample = self._sample(split, self._round)
+        chosen = self._best(sample, opening)
         if chosen is None and len(candidates) > LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
             chosen = self._best(candidates, opening)
         if chosen is not None:
@@ -150,24 +154,35 @@
             self._cost.note_placed(chosen, opening)
         return chosen
 
-    def _sample(self, candidates: Sequence[Upstream]) -> Sequence[Upstream]:
-        """Return all candidates, or a rotating sample of a large number."""
+    def next_sample(self, candidates: Sequence[Upstream]) -> Sequence[Upstream]:
+        """Return what the next opening compares first; changes nothing."""
         if len(candidates) <= LOCAL_SAMPLE_SIZE + REMOTE_SAMPLE_SIZE:
             return candidates
-        split = self._split(candidates)
+        return self._sample(self._split(candidates), self._round + 1)
+
+    def next_order(self, available: Sequence[Upstream]) -> list[Upstream]:
+        """Return the order in which the next opening compares; changes nothing.
+
+        The first of equal candidates is chosen.
+        """
+        return _rotated(available, self._round + 1)
+
+    def _sample(self, split: _DomainSplit, round_number: int) -> Sequence[Upstream]:
+        """Return a rotating sample of a large number of candidates."""
         preference = self._preference
-        preferred = preference.preferred(candidates[0].service) if preference else ()
+        service = split.candidates[0].service
+        preferred = preference.preferred(service) if preference else ()
         # What is preferred may be older than the candidates.
         return [
             *(upstream for upstream in preferred if upstream in split.members),
-            *_rotating_slice(split.local, self._round, LOCAL_SAMPLE_SIZE),
-            *_rotating_slice(split.remote, self._round, REMOTE_SAMPLE_SIZE),
+            *_rotating_slice(split.local, round_number, LOCAL_SAMPLE_SIZE),
+            *_rotating_slice(split.remote, round_number, REMOTE_SAMPLE_SIZE),
         ]
 
     def _split(self, candidates: Sequence[Upstream]) -> _DomainSplit:
         """Return the candidates split by failure domain.
 
-        The split is cached for each service until the candidate list is replaced.
+        The last split of the service is used until the candidate list is replaced.
         """
         service = candidates[0].service
         known = self._splits.get(service)
@@ -179,7 +194,6 @@
                 upstream for upstream in candidates if upstream.domain != self._domain
             ]
             known = _DomainSplit(candidates, frozenset(candidates), local, remote)
-            self._splits[service] = known
         return known
 
     def _best(
@@ -200,10 +214,8 @@
         ]
         if not available:
             return None
-        # Rotate the order so that candidates of equal cost take turns.
-        start = self._round % len(available)
         cost = self._cost.for_opening(pool, opening)
-        return min(available[start:] + available[:start], key=cost)
+        return min(_rotated(available, self._round), key=cost)
 
     def _first_unchecked(
         self, upstreams: Iterable[Upstream], now: float
@@ -220,6 +232,12 @@
         return None
 
 
+def _rotated(available: Sequence[Upstream], round_number: int) -> list[Upstream]:
+    """Return the candidates so that those of equal cost take turns."""
+    start = round_number % len(available)
+    return [*available[start:], *available[:start]]
+
+
 def _rotating_slice(
     upstreams: list[Upstream], round_number: int, limit: int
 ) -> list[Upstream]:
