Expire reports of speeds by the same age everywhere

Rounding could keep a report that no longer counted, and combining none failed with an IndexError in the answer to another balancer, which the error boundary caught.

The new test fails without the change.

--- a/egrethook/upstreams/peer_speeds.py
+++ b/egrethook/upstreams/peer_speeds.py
@@ -82,18 +82,21 @@
 
     def expire(self, now: float) -> None:
         """Remove reports that no longer count."""
-        oldest_at = now - REPORT_LIFE_S
         for token, reports in list(self._reports.items()):
             for reporter, report in list(reports.items()):
-                if report.received_at <= oldest_at:
+                if not _is_current(report, now):
                     del reports[reporter]
             if not reports:
                 del self._reports[token]
 
 
+def _is_current(report: _Report, now: float) -> bool:
+    return now - report.received_at < REPORT_LIFE_S
+
+
 def _combine(token: int, reports: Iterable[_Report], now: float) -> SpeedEstimate:
     """Return what the current reports on an upstream have in common."""
-    current = [one for one in reports if now - one.received_at < REPORT_LIFE_S]
+    current = [one for one in reports if _is_current(one, now)]
     weights = [
         one.weight * 0.5 ** ((now - one.received_at) / REPORT_HALF_LIFE_S)
         for one in current
--- a/tests/test_speed_exchange.py
+++ b/tests/test_speed_exchange.py
@@ -323,6 +323,13 @@
     assert speeds.combined(REPORT_LIFE_S) == []
 
 
+def test_report_that_expires_now_to_the_last_digit_is_forgotten():
+    """Rounding makes its age `REPORT_LIFE_S` though it came later than that before."""
+    speeds = PeerSpeeds()
+    note_from(speeds, ["one"], 1.5, now=4.155597509256805)
+    assert speeds.combined(16.155597509256804) == []
+
+
 def test_reports_of_a_vm_that_has_gone_are_ignored():
     fleet = informed_fleet()
     fleet.run(4.0)
