--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -278,6 +278,18 @@
     assert chosen is upstreams[2]
 
 
+def test_an_upstream_that_may_get_no_flows_or_few_gets_no_trial(detector, upstreams):
+    """It drains, or its failure domain is out of service; or it is still cold."""
+    selector = OutlierSelector(FirstSelector(), detector)
+    eject(detector, upstreams[0])
+    assert selector.choose(upstreams[1:], opening(5.0)) is upstreams[1]
+    upstreams[0].update(upstream_record("up-0", "zone", cold_left_s=9.0), 1.0)
+    assert selector.choose(upstreams, opening(5.0)) is upstreams[1]
+    assert detector.counts.trials == 0
+    upstreams[0].update(upstream_record("up-0", "zone"), 1.0)
+    assert selector.choose(upstreams, opening(5.0)) is upstreams[0]
+
+
 def test_if_all_others_were_tried_an_outlier_is_better_than_none(detector, upstreams):
     selector = OutlierSelector(FirstSelector(), detector)
     eject(detector, upstreams[0])
