Count a repeated estimate of peers once

The interface of the speed table says that an estimate replaces the one given earlier; the table added their weights instead.

The new test fails without the change.

--- a/egrethook/upstreams/learned_speeds.py
+++ b/egrethook/upstreams/learned_speeds.py
@@ -177,18 +177,17 @@
     def apply_peer_estimates(
         self, estimates: Iterable[SpeedEstimate], now: float
     ) -> None:
-        """Merge the estimates of another balancer."""
+        """Replace earlier estimates by what other balancers now agree on."""
         for estimate in estimates:
             if not FACTOR_RANGE[0] <= estimate.time_factor <= FACTOR_RANGE[1]:
                 continue
             weight = min(estimate.weight, MAX_WEIGHT)
             if not weight >= MIN_WEIGHT:
                 continue
-            peers = self._peers.get(estimate.token)
-            if peers is None:
-                if len(self._peers) >= MAX_UPSTREAMS:
-                    continue
-                peers = self._peers[estimate.token] = _LogMean(PEER_HALF_LIFE_S, now)
+            is_new = estimate.token not in self._peers
+            if is_new and len(self._peers) >= MAX_UPSTREAMS:
+                continue
+            peers = self._peers[estimate.token] = _LogMean(PEER_HALF_LIFE_S, now)
             peers.add(math.log(estimate.time_factor), weight, math.inf, now)
             self._update_factor(estimate.token)
 
--- a/egrethook/upstreams/speeds.py
+++ b/egrethook/upstreams/speeds.py
@@ -38,7 +38,7 @@
     def apply_peer_estimates(
         self, estimates: Iterable[SpeedEstimate], now: float
     ) -> None:
-        """Merge the combined estimates of other balancers.
+        """Take over the combined estimates of other balancers.
 
         An estimate replaces the one given earlier for the same upstream, and loses
         weight with time.
--- a/tests/test_cost_aware_placement.py
+++ b/tests/test_cost_aware_placement.py
@@ -253,6 +253,18 @@
         speeds.apply_peer_estimates([SpeedEstimate(one.token, 2.0, factor - 1)], 0.0)
         assert speeds.time_factor(one) < 10.0
 
+    def test_peer_estimate_that_is_repeated_counts_once(self):
+        """Each one combines all reports that still count, those of before too."""
+        speeds = LearnedSpeeds(RequestCosts())
+        one = upstream("a")
+        speeds.apply_peer_estimates([SpeedEstimate(one.token, 3.0, 2.0)], 0.0)
+        once = speeds.time_factor(one)
+        for _ in range(10):
+            speeds.apply_peer_estimates([SpeedEstimate(one.token, 3.0, 2.0)], 0.0)
+        assert speeds.time_factor(one) == pytest.approx(once)
+        speeds.apply_peer_estimates([SpeedEstimate(one.token, 1.0, 2.0)], 0.0)
+        assert speeds.time_factor(one) == 1.0
+
     def test_peers_that_agree_on_a_very_slow_upstream_are_believed(self):
         """No factor that balancers send each other is out of range here."""
         speeds, peers = LearnedSpeeds(RequestCosts()), PeerSpeeds()
