Wake half as often while no failure domain is suspected to be cut off

Cause: the task that decides on the departure of the failure domain woke 20 times a second, and the live balancers were listed 5 times a second even if nothing prefers upstreams by them. Live balancers are listed only for preferred upstreams.

--- a/egrethook/forwarding/domain_departure.py
+++ b/egrethook/forwarding/domain_departure.py
@@ -22,6 +22,12 @@
 )
 from egrethook.upstreams.reachability import RETRY_AFTER_S
 
+CHECK_INTERVAL_S = 0.05
+"""Interval between decisions while anything is suspicious, in seconds."""
+
+IDLE_CHECK_INTERVAL_S = 0.1
+"""Interval between checks whether anything is, in seconds."""
+
 REPEAT_INTERVAL_S = 0.3
 """Interval at which a report is repeated while it holds, in seconds."""
 
@@ -133,6 +139,11 @@
         """How often it has left the rotation."""
         return self._departures
 
+    @property
+    def check_interval_s(self) -> float:
+        """The time until the next `step`, in seconds."""
+        return CHECK_INTERVAL_S if self._active else IDLE_CHECK_INTERVAL_S
+
     def decides(self, now: float) -> bool:
         """Return whether there are other balancers of the domain to agree with."""
         return bool(self._peers.live_in_own_domain(now))
@@ -148,7 +159,7 @@
         )
 
     def step(self, now: float) -> None:
-        """Decide afresh and send what is due; call at least every 0.1 s."""
+        """Decide afresh and send what is due; call after `check_interval_s`."""
         was_active = self._active
         self._active = (
             self.departed
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -43,9 +43,6 @@
 HOUSEKEEPING_INTERVAL_S = 0.2
 """Interval between housekeeping rounds, in seconds."""
 
-DEPARTURE_CHECK_INTERVAL_S = 0.05
-"""Interval between decisions whether the failure domain departs, in seconds."""
-
 SETTINGS_CHECK_INTERVAL_S = 1.0
 """Interval between checks of the settings file, in seconds."""
 
@@ -249,7 +246,7 @@
     async def _run_departure(self) -> None:
         """Decide with the other balancers whether the failure domain departs."""
         while self._forwarder.departure is not None:
-            await anyio.sleep(DEPARTURE_CHECK_INTERVAL_S)
+            await anyio.sleep(self._departure.check_interval_s)
             with self._departure_errors:
                 self._departure.step(self._clock.now())
 
@@ -336,8 +333,9 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_S)
             await self._check_for_suspension()
-            with self._member_errors:
-                self._share_live_members()
+            if self._forwarder.subsets is not None:
+                with self._member_errors:
+                    self._share_live_members()
             self._forwarder.housekeep()
             self._forwarder.handle_ready_packets()
             self._log.flush()
--- a/tests/departure_world.py
+++ b/tests/departure_world.py
@@ -15,10 +15,12 @@
 from egrethook.discovery.records import ItemKind, PublishedItem
 from egrethook.discovery.replica import Replica
 from egrethook.emulator.flow_world import FlowWorld
-from egrethook.forwarding.domain_departure import DomainDeparture
+from egrethook.forwarding.domain_departure import (
+    IDLE_CHECK_INTERVAL_S,
+    DomainDeparture,
+)
 from egrethook.upstreams.reachability import HeardDomains, Reachability
 
-STEP_INTERVAL_S = 0.05
 PROBE_INTERVAL_S = 0.5
 GOSSIP_DELAY_S = {True: 0.0003, False: 0.003}
 """One-way delay of gossip within a failure domain and between domains, in seconds."""
@@ -63,7 +65,7 @@
         )
         self.report_bytes = 0
         world.after(self.rng.uniform(0, GOSSIP_INTERVAL_S), self._round)
-        world.after(self.rng.uniform(0, STEP_INTERVAL_S), self._step)
+        world.after(self.rng.uniform(0, IDLE_CHECK_INTERVAL_S), self._step)
 
     def now(self):
         return self.world.now
@@ -89,7 +91,8 @@
     def _step(self):
         if self.running:
             self.departure.step(self.now())
-        self.world.after(STEP_INTERVAL_S * self.world.slowness, self._step)
+        interval_s = self.departure.check_interval_s
+        self.world.after(interval_s * self.world.slowness, self._step)
 
     def send(self, target, datagram):
         """Send a datagram; this object is the socket of its gossip."""
