Let soaks of one seed run at once on one machine

Cause: the loopback network of a soak followed from its seed alone, so that two runs of the tests at once ended with E103, address already in use. Change: a soak takes the first network that is free, beginning with the one of its seed, and holds it by the store's address. Random choices still depend on the seed only.

--- a/egrethook/emulator/soak/run.py
+++ b/egrethook/emulator/soak/run.py
@@ -5,9 +5,11 @@
 import logging
 import random
 import signal
+import socket
 import tempfile
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -27,10 +29,17 @@
 )
 from egrethook.emulator.soak.proxy import FaultyProxy
 from egrethook.emulator.soak.store import StoreEmulator
+from egrethook.exceptions import AddressInUseError
 from egrethook.httpserver import bind_http, serve_http
 
 SERVICES = ("orders", "charts")
 
+FIRST_NETWORK = 10
+"""Second octet of the first loopback network that a soak may use."""
+
+NETWORKS = 200
+"""Number of these networks."""
+
 STARTUP_WAIT_S = 4.0
 """Time between the start of the processes and that of the load, in seconds."""
 
@@ -122,7 +131,7 @@
         self._store = StoreEmulator()
         # Addresses differ by seed, so that soaks of several seeds can run at once.
         self._base_port = 20_000 + options.seed % 400 * 20
-        self._second_octet = 10 + options.seed % 200
+        self._second_octet = FIRST_NETWORK + options.seed % NETWORKS
         self._upstreams: dict[str, PacketUpstream] = {}
         self._callers: list[tuple[str, PacketCaller]] = []
         self._configuration_version = 1
@@ -135,6 +144,7 @@
         logging.getLogger("uvicorn.error").disabled = True
         folder = Path(tempfile.mkdtemp(prefix="egrethook-soak-"))
         self._report.folder = folder
+        listener = self._bind_store()
         vms = self._make_vms()
         async with (
             SoakFleet(vms, folder, self._violations) as fleet,
@@ -144,7 +154,7 @@
             self._faults = SoakFaults(
                 self._rng, fleet, self._store, self._upstreams, self._publish_routes
             )
-            await self._start(tasks)
+            await self._start(tasks, listener)
             await self._run_load_and_faults(tasks)
             # Before the fleet ends, which disturbs its VMs.
             self._violations += self._faults.exclusion_violations()
@@ -170,8 +180,25 @@
             vms.append(SoakVm(f"vm-{number}", domain, host, self._base_port, proxy))
         return vms
 
-    async def _start(self, tasks: TaskGroup) -> None:
-        listener = bind_http(self._store_address)
+    def _bind_store(self) -> socket.socket:
+        """Listen at the store's address in the first loopback network that is free.
+
+        A soak holds its network by this address. The first choice depends on the seed.
+
+        Raises
+        ------
+        AddressInUseError
+            If none is free.
+        """
+        first = self._second_octet - FIRST_NETWORK
+        for number in range(first, first + NETWORKS - 1):
+            self._second_octet = FIRST_NETWORK + number % NETWORKS
+            with suppress(AddressInUseError):
+                return bind_http(self._store_address)
+        self._second_octet = FIRST_NETWORK + (first - 1) % NETWORKS
+        return bind_http(self._store_address)
+
+    async def _start(self, tasks: TaskGroup, listener: socket.socket) -> None:
         tasks.start_soon(serve_http, self._store.app(), listener)
         tasks.start_soon(self._measure_stalls)
         for vm in self._fleet.vms:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+from contextlib import ExitStack
 from pathlib import Path
 
 import anyio
@@ -79,6 +80,16 @@
     assert not any(Path(f"/proc/{number}").exists() for number in children)
 
 
+def test_soaks_of_one_seed_use_different_networks():
+    """Two runs of the tests at once on one machine must not disturb each other."""
+    soaks = [Soak(SoakOptions(398), lambda line: None) for _ in range(3)]
+    with ExitStack() as listeners:
+        for soak in soaks:
+            listeners.enter_context(soak._bind_store())
+        hosts = {vm.host for soak in soaks for vm in soak._make_vms()}
+    assert len(hosts) == 3 * len(soaks[0]._make_vms())
+
+
 def test_error_that_a_process_survived_is_a_violation(tmp_path):
     violations = []
     (tmp_path / "vm-0-1.log").write_text('{"message": "start: the process starts."}')
