Learn no cost of a route from a paused process or a repeated request

Cause: the expected cost by which openings are ordered averaged all service times, also those that include a pause of this process, a silence of the upstream or a lost packet. After a pause, openings counted as late on arrival. Change: only times that show how long the upstream took are averaged, as in the costs of cost-aware placement.

--- a/egrethook/callers/fair_queueing.py
+++ b/egrethook/callers/fair_queueing.py
@@ -69,7 +69,9 @@
         self._costs_s: dict[str, float] = {}
 
     def request_answered(self, outcome: RequestOutcome, now: float) -> None:
-        """Add a service time to the average of its route."""
+        """Add a service time to the average of its route, if it shows the cost."""
+        if not outcome.is_sound:
+            return
         name = outcome.route.name
         average_s = self._costs_s.get(name, outcome.service_s)
         average_s += COST_WEIGHT * (outcome.service_s - average_s)
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -329,6 +329,9 @@
     for _ in range(40):
         costs.request_answered(outcome(upstream, 0.3), 0.0)
     assert costs.expected_cost_s(route) == pytest.approx(0.3)
+    for change in ({"interrupted": True}, {"retransmitted": True}):
+        costs.request_answered(outcome(upstream, 30.0)._replace(**change), 0.0)
+    assert costs.expected_cost_s(route) == pytest.approx(0.3), "no cost of the upstream"
 
 
 # Policy ----------------------------------------------------------------------------
