--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -30,7 +30,7 @@
 from egrethook.platform.packet_header import ACK, FIN, FLOW_KEY, SYN, PacketHeader
 from egrethook.upstreams.flow_limit import AimdFlowLimit
 from egrethook.upstreams.health import PassiveHealth
-from egrethook.upstreams.placement import LeastFlowsCost
+from egrethook.upstreams.least_flows import LeastFlowsCost
 from egrethook.upstreams.selection import LowestCostSelector
 
 FLOW_COUNT = 2_000
--- a/egrethook/forwarding/data_path.py
+++ b/egrethook/forwarding/data_path.py
@@ -6,42 +6,27 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
-from typing import NamedTuple
-from zlib import crc32
+from typing import TYPE_CHECKING, NamedTuple
 
-from egrethook.callers.fair_queueing import FairQueueing, MeasuredCost
 from egrethook.callers.flow_dispatch import FlowDispatcher
-from egrethook.callers.forwarded_flow import DispatcherCounts
 from egrethook.callers.segments import PacketPort, SegmentCodec
-from egrethook.callers.service_rate import SmoothedServiceRate
 from egrethook.discovery.view import ForwardingView
 from egrethook.forwarding.features import Feature
 from egrethook.upstreams.cold_limit import ColdAdmission
-from egrethook.upstreams.explanation import (
-    CandidateCosts,
-    ChoiceExplainer,
-    FinishCosts,
-    FlowCosts,
-)
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.health import PassiveHealth
-from egrethook.upstreams.learned_speeds import LearnedSpeeds
-from egrethook.upstreams.outlier_selection import OutlierSelector
-from egrethook.upstreams.outliers import OutlierDetector
-from egrethook.upstreams.outstanding import OutstandingWork
-from egrethook.upstreams.placement import ExpectedFinishCost, LeastFlowsCost
-from egrethook.upstreams.plausible_answers import PlausibleAnswers
-from egrethook.upstreams.request_costs import RequestCosts
-from egrethook.upstreams.requests import RequestListener, StallListener
-from egrethook.upstreams.selection import (
-    LowestCostSelector,
-    PlacementCost,
-    UpstreamPreference,
-    UpstreamSelector,
-)
-from egrethook.upstreams.slow_start import SlowStartSelector
-from egrethook.upstreams.speeds import SpeedTable
-from egrethook.upstreams.subsets import PreferredSubsets
+from egrethook.upstreams.least_flows import LeastFlowsCost
+from egrethook.upstreams.selection import LowestCostSelector, UpstreamSelector
+
+if TYPE_CHECKING:
+    from egrethook.upstreams.explanation import ChoiceExplainer
+    from egrethook.upstreams.learned_speeds import LearnedSpeeds
+    from egrethook.upstreams.outliers import OutlierDetector
+    from egrethook.upstreams.placement import ExpectedFinishCost
+    from egrethook.upstreams.request_costs import RequestCosts
+    from egrethook.upstreams.slow_start import SlowStartSelector
+    from egrethook.upstreams.speeds import SpeedTable
+    from egrethook.upstreams.subsets import PreferredSubsets
 
 
 class CostAwarePlacement(NamedTuple):
@@ -59,8 +44,8 @@
 
     Parameters
     ----------
-    explainer : ChoiceExplainer
-        Explains where an opening would go.
+    new_explainer : callable
+        Returns what explains where an opening would go.
     outliers : OutlierDetector or None
         Finds upstreams that fail requests.
     cost_aware : CostAwarePlacement or None
@@ -74,7 +59,7 @@
     dispatcher: FlowDispatcher
     health: PassiveHealth
     selector: UpstreamSelector
-    explainer: ChoiceExplainer
+    new_explainer: Callable[[], ChoiceExplainer]
     outliers: OutlierDetector | None = None
     cost_aware: CostAwarePlacement | None = None
     subsets: PreferredSubsets | None = None
@@ -114,78 +99,53 @@
         Returns the number of live balancers, this one included; 0 if unknown. If
         given, the flows of a service grow by slow start after the start.
     """
+    if features or live_balancers is not None:
+        from egrethook.forwarding.feature_path import build_data_path_with_features
+
+        return build_data_path_with_features(
+            name,
+            domain,
+            features,
+            view,
+            codec,
+            port,
+            limit,
+            cold_admission,
+            live_balancers,
+        )
     health = PassiveHealth(name)
-    listeners: list[RequestListener] = []
-    learners: list[RequestListener] = []
-    stall_listeners: list[StallListener] = []
-    subsets = outliers = cost_aware = queueing = None
-    if Feature.SHARED_SPEEDS in features:
-        subsets = PreferredSubsets(domain, view.accepts_flows)
-    flow_cost = LeastFlowsCost(domain, subsets)
-    cost: PlacementCost = flow_cost
-    shown_costs: CandidateCosts = FlowCosts(flow_cost)
-    if Feature.COST_AWARE_PLACEMENT in features:
-        cost_aware = _cost_aware_placement(domain, subsets)
-        cost = cost_aware.comparison
-        shown_costs = FinishCosts(cost_aware.comparison)
-        learners += [cost_aware.speeds, cost_aware.costs]
-    starts_apart = subsets is not None or cost_aware is not None
-    first_round = crc32(name.encode()) if starts_apart else 0
-    lowest_cost = LowestCostSelector(
-        domain, limit, cold_admission, cost, subsets, first_round
-    )
-    selector: UpstreamSelector = lowest_cost
-    slow_start = None
-    if Feature.OUTLIER_EJECTION in features:
-        outliers = OutlierDetector(name, lambda service: len(view.candidates(service)))
-        listeners.append(outliers)
-        stall_listeners.append(outliers)
-        selector = OutlierSelector(selector, outliers)
-        learners = [PlausibleAnswers(outliers, learners)]
-    if live_balancers is not None:
-        slow_start = SlowStartSelector(selector, live_balancers)
-        listeners.append(slow_start)
-        selector = slow_start
-    explainer = ChoiceExplainer(
-        lowest_cost, limit, cold_admission, shown_costs, subsets, outliers, slow_start
-    )
-    counts = DispatcherCounts()
-    if Feature.FAIR_QUEUEING in features:
-        rate, costs = SmoothedServiceRate(), MeasuredCost()
-        listeners += [rate, costs]
-        queueing = FairQueueing(rate, costs, counts)
-    dispatcher = FlowDispatcher(
-        view,
-        codec,
-        port,
-        selector,
-        limit,
-        health,
-        [*listeners, *learners],
-        stall_listeners,
-        counts,
-        queueing,
-    )
-    speeds = cost_aware.speeds if cost_aware and subsets else None
+    cost = LeastFlowsCost(domain)
+    selector = LowestCostSelector(domain, limit, cold_admission, cost)
+    dispatcher = FlowDispatcher(view, codec, port, selector, limit, health)
     return DataPath(
         dispatcher,
         health,
         selector,
-        explainer,
-        outliers,
-        cost_aware,
-        subsets,
-        speeds,
+        lambda: new_explainer(selector, limit, cold_admission, cost),
     )
 
 
-def _cost_aware_placement(
-    domain: str, preference: UpstreamPreference | None
-) -> CostAwarePlacement:
-    """Return the connected parts of cost-aware placement."""
-    costs = RequestCosts()
-    speeds = LearnedSpeeds(costs)
-    costs.set_time_factors(speeds)
-    outstanding = OutstandingWork(costs)
-    comparison = ExpectedFinishCost(domain, costs, speeds, outstanding, preference)
-    return CostAwarePlacement(costs, speeds, comparison)
+def new_explainer(
+    selector: LowestCostSelector,
+    limit: FlowLimit,
+    cold_admission: ColdAdmission,
+    flow_cost: LeastFlowsCost,
+    comparison: ExpectedFinishCost | None = None,
+    subsets: PreferredSubsets | None = None,
+    outliers: OutlierDetector | None = None,
+    slow_start: SlowStartSelector | None = None,
+) -> ChoiceExplainer:
+    """Return what explains choices; few processes are ever asked to."""
+    from egrethook.upstreams.explanation import (
+        CandidateCosts,
+        ChoiceExplainer,
+        FinishCosts,
+        FlowCosts,
+    )
+
+    costs: CandidateCosts = FlowCosts(flow_cost)
+    if comparison is not None:
+        costs = FinishCosts(comparison)
+    return ChoiceExplainer(
+        selector, limit, cold_admission, costs, subsets, outliers, slow_start
+    )
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 import _socket as socket
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from types import TracebackType
-from typing import Protocol, Self
+from typing import TYPE_CHECKING, Protocol, Self
 
 from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.callers.segments import IPv4Endpoint, SegmentCodec
@@ -24,14 +24,16 @@
 from egrethook.forwarding.settings import ForwarderSettings
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
-from egrethook.upstreams.explanation import ChoiceExplainer
 from egrethook.upstreams.flow_limit import AimdFlowLimit
 from egrethook.upstreams.health import HealthListener, HealthObservation
-from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.reach_evidence import ReachEvidence
 from egrethook.upstreams.reachability import HeardDomains, Reachability
-from egrethook.upstreams.speeds import SpeedTable
-from egrethook.upstreams.subsets import FleetMember, PreferredSubsets
+
+if TYPE_CHECKING:
+    from egrethook.upstreams.explanation import ChoiceExplainer
+    from egrethook.upstreams.outliers import OutlierDetector
+    from egrethook.upstreams.speeds import SpeedTable
+    from egrethook.upstreams.subsets import FleetMember, PreferredSubsets
 
 _LOG = PartLog("forwarder")
 
@@ -143,7 +145,7 @@
         )
         self._health = data_path.health
         self._dispatcher = data_path.dispatcher
-        self._explainer = data_path.explainer
+        self._new_explainer = data_path.new_explainer
         self._outliers = data_path.outliers
         self._cost_aware = data_path.cost_aware
         self._subsets = data_path.subsets
@@ -195,7 +197,7 @@
     @property
     def explainer(self) -> ChoiceExplainer:
         """Explains where openings would go."""
-        return self._explainer
+        return self._new_explainer()
 
     @property
     def outliers(self) -> OutlierDetector | None:
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import signal
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -17,13 +18,11 @@
     SpeedReport,
 )
 from egrethook.balancers.gossip_members import GossipMembers
-from egrethook.balancers.speed_exchange import SpeedExchange
 from egrethook.clock import SuspensionDetector
 from egrethook.datagrams import bind_when_free
 from egrethook.discovery.follower import RegistryFollower
 from egrethook.discovery.records import RecordSource
 from egrethook.error_boundary import ErrorBoundary
-from egrethook.forwarding.domain_departure import DomainDeparture
 from egrethook.forwarding.features import Feature
 from egrethook.forwarding.forwarder import Forwarder
 from egrethook.forwarding.interleaving import ImportInterleaver
@@ -33,9 +32,12 @@
 from egrethook.operators.probes import ProbeAnswer, ProbeServer
 from egrethook.signals import SignalReceiver
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM
-from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.reachability import HeardDomains
-from egrethook.upstreams.subsets import FleetMember
+
+if TYPE_CHECKING:
+    from egrethook.balancers.speed_exchange import SpeedExchange
+    from egrethook.forwarding.domain_departure import DomainDeparture
+    from egrethook.upstreams.outliers import OutlierDetector
 
 DUE_WORK_INTERVAL_S = 0.01
 """Interval between checks for due work, in seconds."""
@@ -116,16 +118,7 @@
             self._connect_outliers(forwarder.outliers)
         forwarder.set_cold_sender_check(self._is_cold_sender)
         forwarder.set_heard_domains(self._heard_domains)
-        self._departure = DomainDeparture(
-            settings.failure_domain,
-            forwarder.reach_evidence,
-            forwarder.view.domains_with_upstreams,
-            self._members,
-            self._send_reach_report,
-        )
-        if Feature.DOMAIN_DEPARTURE in settings.enabled_features:
-            forwarder.set_departure(self._departure)
-            self._gossip.set_handler(ReachReport, self._on_reach_report)
+        self._departure = self._new_departure()
         forwarder.set_live_balancers(self._live_balancers)
         self._follower = RegistryFollower(
             source, forwarder.replica, self._should_read_registry, self._clock, rng
@@ -136,6 +129,27 @@
         self._member_errors = ErrorBoundary(_LOG, "live members")
         self._reload_errors = ErrorBoundary(_LOG, "settings reload")
 
+    def _new_departure(self) -> DomainDeparture | None:
+        """Return the decision of the failure domain, or None if it is switched off."""
+        settings, forwarder = self._settings, self._forwarder
+        if Feature.DOMAIN_DEPARTURE not in settings.enabled_features:
+            return None
+        from egrethook.forwarding.domain_departure import DomainDeparture
+
+        departure = DomainDeparture(
+            settings.failure_domain,
+            forwarder.reach_evidence,
+            forwarder.view.domains_with_upstreams,
+            self._members,
+            self._send_reach_report,
+        )
+        forwarder.set_departure(departure)
+        self._gossip.set_handler(
+            ReachReport,
+            lambda report, source: departure.note_report(report, self._clock.now()),
+        )
+        return departure
+
     def _connect_outliers(self, outliers: OutlierDetector) -> None:
         """Exchange what is seen of upstreams with the other balancers."""
         outliers.set_listener(
@@ -155,6 +169,8 @@
         forwarder = self._forwarder
         if forwarder.speeds is None:
             return None
+        from egrethook.balancers.speed_exchange import SpeedExchange
+
         exchange = SpeedExchange(
             self._gossip,
             self._members,
@@ -245,13 +261,11 @@
 
     async def _run_departure(self) -> None:
         """Decide with the other balancers whether the failure domain departs."""
-        while self._forwarder.departure is not None:
-            await anyio.sleep(self._departure.check_interval_s)
+        departure = self._departure
+        while departure is not None:
+            await anyio.sleep(departure.check_interval_s)
             with self._departure_errors:
-                self._departure.step(self._clock.now())
-
-    def _on_reach_report(self, report: ReachReport, source: Address) -> None:
-        self._departure.note_report(report, self._clock.now())
+                departure.step(self._clock.now())
 
     def _send_reach_report(self, report: ReachReport, limit: int | None) -> None:
         targets = self._members.report_targets(self._clock.now())
@@ -259,6 +273,8 @@
 
     def _share_live_members(self) -> None:
         """Tell the forwarder which balancers live, except those that leave."""
+        from egrethook.upstreams.subsets import FleetMember
+
         others = [
             FleetMember(str(member.address), member.failure_domain)
             for member in self._members.live(self._clock.now())
--- a/egrethook/upstreams/explanation.py
+++ b/egrethook/upstreams/explanation.py
@@ -11,11 +11,11 @@
 
 from egrethook.upstreams.cold_limit import ColdAdmission
 from egrethook.upstreams.flow_limit import FlowLimit
+from egrethook.upstreams.least_flows import LeastFlowsCost
 from egrethook.upstreams.outliers import OutlierDetector
 from egrethook.upstreams.placement import (
     CandidateEstimate,
     ExpectedFinishCost,
-    LeastFlowsCost,
 )
 from egrethook.upstreams.selection import (
     LOCAL_SAMPLE_SIZE,
--- a/egrethook/upstreams/subsets.py
+++ b/egrethook/upstreams/subsets.py
@@ -23,7 +23,7 @@
 from typing import NamedTuple
 from zlib import crc32
 
-from egrethook.upstreams.placement import REMOTE_DOMAIN_COST
+from egrethook.upstreams.least_flows import REMOTE_DOMAIN_COST
 from egrethook.upstreams.upstream import Upstream
 
 COST_STEP = 0.15
--- a/tests/dispatcher_harness.py
+++ b/tests/dispatcher_harness.py
@@ -16,7 +16,7 @@
 )
 from egrethook.platform.packet_header import ACK, SYN, PacketHeader
 from egrethook.upstreams.health import PassiveHealth
-from egrethook.upstreams.placement import LeastFlowsCost
+from egrethook.upstreams.least_flows import LeastFlowsCost
 from egrethook.upstreams.selection import LowestCostSelector
 
 
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -21,7 +21,7 @@
     upstream_record,
 )
 from egrethook.upstreams.cold_limit import SENDERS_PER_UPSTREAM, FleetColdLimit
-from egrethook.upstreams.placement import LeastFlowsCost
+from egrethook.upstreams.least_flows import LeastFlowsCost
 from egrethook.upstreams.selection import LowestCostSelector, Opening
 from egrethook.upstreams.upstream import Upstream
 
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -18,7 +18,7 @@
 from egrethook.emulator.flow_records import SERVICE
 from egrethook.emulator.flow_world import FlowWorld
 from egrethook.forwarding.features import Feature
-from egrethook.upstreams import placement
+from egrethook.upstreams import least_flows
 from egrethook.upstreams.subsets import FleetMember
 
 DOMAINS = ("zone-a", "zone-b", "zone-c")
@@ -149,7 +149,7 @@
     That rule compares averages of a few service times; with a heavy tail it calls
     upstreams slow that are not.
     """
-    monkeypatch.setattr(placement, "SLOW_SERVICE_TIME_FACTOR", math.inf)
+    monkeypatch.setattr(least_flows, "SLOW_SERVICE_TIME_FACTOR", math.inf)
     assert replay(seed, uneven=False, duration_s=12.0).busiest <= 1.3
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -71,6 +71,30 @@
     assert loaded & SLOW_LIBRARIES == set()
 
 
+OPTIONAL_MODULES = {
+    "egrethook.callers.fair_queueing",
+    "egrethook.balancers.speed_exchange",
+    "egrethook.forwarding.domain_departure",
+    "egrethook.forwarding.feature_path",
+    "egrethook.upstreams.explanation",
+    "egrethook.upstreams.outliers",
+    "egrethook.upstreams.placement",
+    "egrethook.upstreams.subsets",
+}
+
+
+def test_modules_of_features_that_are_off_are_not_imported():
+    """Guards against a later start where no optional feature is switched on."""
+    code = "import sys\nimport egrethook.platform.daemon, egrethook.forwarding.tasks\n"
+    run = subprocess.run(
+        [sys.executable, "-c", code + "print('\\n'.join(sys.modules))"],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert OPTIONAL_MODULES & set(run.stdout.split()) == set()
+
+
 def test_replaced_modules_are_as_usual_after_the_import(tmp_path, monkeypatch):
     (tmp_path / "slow_part.py").write_text("value = 'real'\n")
     (tmp_path / "library.py").write_text("from slow_part import value\n")
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -22,7 +22,7 @@
     route_table,
     upstream_record,
 )
-from egrethook.upstreams.placement import LeastFlowsCost
+from egrethook.upstreams.least_flows import LeastFlowsCost
 from egrethook.upstreams.selection import LowestCostSelector, Opening
 from egrethook.upstreams.subsets import (
     PREFERRED_COUNT,
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -78,13 +78,13 @@
 
 def explain(world, vm):
     candidates = vm.view.candidates(SERVICE)
-    return vm.data_path.explainer.explain(candidates, opening_at(world, vm))
+    return vm.data_path.new_explainer().explain(candidates, opening_at(world, vm))
 
 
 def where(world, query="route=route"):
     vm = world.vms[0]
     return answer_where(
-        query, vm.view, vm.dispatcher, vm.data_path.explainer, world.now
+        query, vm.view, vm.dispatcher, vm.data_path.new_explainer(), world.now
     )
 
 
