--- a/egrethook/upstreams/route_answers.py
+++ b/egrethook/upstreams/route_answers.py
@@ -30,8 +30,17 @@
 SHORT_ANSWER_FACTOR = 0.4
 """Share of the median size below which an answer is short."""
 
-FAST_QUANTILE = 0.1
-"""Quantile of the service times below which an answer has come too soon.
+FAST_QUANTILE = 0.05
+"""Quantile of the service times that counts as the least cost of a request."""
+
+FAST_ANSWER_FACTOR = 0.65
+"""Share of that time below which an answer has come too soon."""
+
+VERY_SHORT_FACTOR = 0.3
+"""Share of the median size below which an answer is very short."""
+
+EARLY_QUANTILE = 0.1
+"""Quantile of the service times below which a very short answer has come too soon.
 
 A failure is measured longer than it takes where its balancer is slow.
 """
@@ -88,6 +97,8 @@
         Size below which an answer is short.
     soon_s : float
         Time below which it has come too soon, in seconds.
+    very_short_bytes, early_s : float
+        The same for an answer that is very short.
     stalled_s : float
         Time from which a request without an answer is stalled, in seconds.
     weights : EvidenceWeights
@@ -96,6 +107,8 @@
 
     short_bytes: float
     soon_s: float
+    very_short_bytes: float
+    early_s: float
     stalled_s: float
     weights: EvidenceWeights
 
@@ -103,6 +116,8 @@
         """Return whether a request hangs, or was answered too soon and too short."""
         if sample.answer_bytes is None:
             return True
+        if sample.answer_bytes < self.very_short_bytes:
+            return sample.service_s < max(self.soon_s, self.early_s)
         return sample.answer_bytes < self.short_bytes and sample.service_s < self.soon_s
 
     def is_plausible(self, sample: RequestSample) -> bool:
@@ -192,7 +207,9 @@
         times = sorted(time for size, time in answers if size >= short_bytes)
         norm = AnswerNorm(
             short_bytes,
-            times[int(FAST_QUANTILE * len(times))],
+            FAST_ANSWER_FACTOR * times[int(FAST_QUANTILE * len(times))],
+            VERY_SHORT_FACTOR * sizes[len(sizes) // 2],
+            times[int(EARLY_QUANTILE * len(times))],
             max(STALL_MIN_S, STALL_FACTOR * times[len(times) // 2]),
             DEFAULT_WEIGHTS,
         )
