--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -124,14 +124,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OutlierReport:
-    """Whether the answers of an upstream differ from those of the others.
+    """What one request showed about an upstream: a suspicious or plausible answer.
 
     Parameters
     ----------
     token : int
         The token that packets of the upstream's flows carry.
     is_outlier : bool
-        Whether it gets fewer openings from now on.
+        Whether the answer was suspicious; False for a plausible one.
     """
 
     token: int
@@ -145,7 +145,7 @@
     Parameters
     ----------
     estimates : tuple of SpeedEstimate
-        What the sender has observed itself.
+        The sender's own; in an answer also those that others have reported to it.
     asks : bool
         Whether the sender requests the receiver's estimates.
     """
--- a/egrethook/callers/fair_order.py
+++ b/egrethook/callers/fair_order.py
@@ -16,10 +16,13 @@
 """
 
 MAX_IDLE_MEMBERS = 64
-"""Routes or callers without openings above which those are forgotten."""
+"""Known routes or callers above which those without openings are forgotten."""
 
 MAX_MEMBERS_AHEAD = 1024
-"""Number of them above which those that were served ahead of others are, too."""
+"""Number beyond those with openings above which all the others are forgotten.
+
+Otherwise the ones that were served ahead of others are kept.
+"""
 
 MIN_COST_S = 0.001
 """Lower bound of the expected cost of an opening, in seconds."""
--- a/egrethook/callers/fair_queue.py
+++ b/egrethook/callers/fair_queue.py
@@ -35,7 +35,7 @@
 
 
 def _give_up_at(opening: WaitingOpening) -> float:
-    """Return after when an opening can't be answered any more, in seconds."""
+    """Return the time after which an opening can't be answered, in seconds."""
     return opening.caller_timeout_at - OPENING_MARGIN_S
 
 
--- a/egrethook/callers/fair_queueing.py
+++ b/egrethook/callers/fair_queueing.py
@@ -1,4 +1,4 @@
-"""Fair queueing: what a service's capacity goes to when openings wait for it."""
+"""Fair queueing: shares a service's capacity between openings that wait for it."""
 
 from __future__ import annotations
 
--- a/egrethook/callers/waiting.py
+++ b/egrethook/callers/waiting.py
@@ -34,7 +34,7 @@
     caller_timeout_at : float
         When the caller abandons it, in seconds.
     yields : bool
-        Whether it is served after all that can be on time, even if it can be too.
+        Whether it waits among the late openings, even if it can still be on time.
     is_guaranteed : bool
         Whether it is due its guaranteed share of the room, although it is late.
     """
--- a/egrethook/forwarding/domain_departure.py
+++ b/egrethook/forwarding/domain_departure.py
@@ -26,7 +26,7 @@
 """Interval between decisions while anything is suspicious, in seconds."""
 
 IDLE_CHECK_INTERVAL_S = 0.1
-"""Interval between checks whether anything is, in seconds."""
+"""Interval between checks whether anything is suspicious, in seconds."""
 
 REPEAT_INTERVAL_S = 0.3
 """Interval at which a report is repeated while it holds, in seconds."""
@@ -44,7 +44,7 @@
 """
 
 MAX_OBJECTORS = 4
-"""Number of balancers heard to object above which this one need not."""
+"""Number of other balancers heard to object from which this one need not."""
 
 CONFIRMED_CONTACT_S = 1.0
 """Time in which two datagrams show that a failure domain is heard, in seconds."""
@@ -193,7 +193,7 @@
         departed_at = self._agreement.departed_at
         if departed_at is None and not self._is_settling(now):
             is_unreached = shown.belief is Belief.UNREACHED
-            # The upstreams of this domain may get flows.
+            # Upstreams of its own domain may get flows, so this domain must not leave.
             return OwnBelief() if is_unreached and self._domain in wanted else shown
         if shown.belief is not Belief.UNKNOWN:
             return shown
--- a/egrethook/forwarding/features.py
+++ b/egrethook/forwarding/features.py
@@ -10,13 +10,13 @@
     """An optional part of a forwarding process."""
 
     OUTLIER_EJECTION = "outlier-ejection"
-    """Upstreams that fail at once or are much slower than others get fewer openings."""
+    """Upstreams that fail requests at once, or let them hang, get trials only."""
 
     COST_AWARE_PLACEMENT = "cost-aware-placement"
     """Openings go where they are expected to be answered first."""
 
     SHARED_SPEEDS = "shared-speeds"
-    """Balancers tell each other how fast upstreams are."""
+    """Balancers prefer different upstreams; with costs, they also exchange speeds."""
 
     DOMAIN_DEPARTURE = "domain-departure"
     """Balancers of a failure domain that reaches no upstream leave the rotation."""
--- a/egrethook/forwarding/metrics.py
+++ b/egrethook/forwarding/metrics.py
@@ -126,7 +126,7 @@
             )
             yield CounterMetricFamily(
                 "egrethook_domain_departures",
-                "Times that it has left.",
+                "Times that this failure domain has left the rotation.",
                 value=forwarder.departure.departures,
             )
 
@@ -143,8 +143,12 @@
         for name, text, value in (
             ("suspicious", "Requests failed at once or hanging.", counts.suspicious),
             ("ejections", "Times an upstream was left out.", counts.ejections),
-            ("trials", "Openings sent to such an upstream.", counts.trials),
-            ("reports_held_back", "Reports not sent.", counts.reports_held_back),
+            ("trials", "Openings sent to outliers as trials.", counts.trials),
+            (
+                "reports_held_back",
+                "Reports over the rate limit.",
+                counts.reports_held_back,
+            ),
         ):
             yield CounterMetricFamily(f"egrethook_outlier_{name}", text, value=value)
 
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -271,6 +271,8 @@
         targets = self._members.report_targets(self._clock.now())
         self._gossip.send_to(report, targets[:limit])
 
+    # Members -------------------------------------------------------------------
+
     def _share_live_members(self) -> None:
         """Tell the forwarder which balancers live, except those that leave."""
         from egrethook.upstreams.subsets import FleetMember
--- a/egrethook/upstreams/ejections.py
+++ b/egrethook/upstreams/ejections.py
@@ -62,8 +62,8 @@
 class Evidence(Struct):
     """A cumulative sum of log likelihood ratios, never below 0.
 
-    It rises while the suspicious answers of an upstream exceed those of its peers, at
-    once or partly, and falls with plausible answers and with time.
+    It rises while an upstream gives more suspicious answers than its peers, whether
+    to all requests or to a part, and falls with plausible answers and with time.
     """
 
     score: float = 0.0
@@ -76,7 +76,7 @@
         self.updated_at = now
 
     def add(self, weight: float, source: str, now: float) -> float:
-        """Add the weight of one request, and return what its source could still add."""
+        """Add the weight of one request, and return how much of it counted."""
         self.age(now)
         if weight > 0.0 and source != OWN_SOURCE:
             weight = self._limited(weight, source, now)
--- a/egrethook/upstreams/flow_limit.py
+++ b/egrethook/upstreams/flow_limit.py
@@ -64,7 +64,7 @@
         Parameters
         ----------
         on_time : bool
-            Whether its answer can still meet the latency objective.
+            Whether the full limit applies, not the lower one for late openings.
         """
         ...
 
--- a/egrethook/upstreams/learned_speeds.py
+++ b/egrethook/upstreams/learned_speeds.py
@@ -112,8 +112,8 @@
 class LearnedSpeeds:
     """The time factor of each upstream, from own answers and those of peers.
 
-    Estimates of peers are kept apart from own ones, which alone are passed on. Without
-    data, the time factor is 1.0.
+    Estimates of peers are kept apart from own ones; `own_estimates` returns only the
+    latter. Without data, the time factor is 1.0.
 
     Parameters
     ----------
--- a/egrethook/upstreams/outliers.py
+++ b/egrethook/upstreams/outliers.py
@@ -50,8 +50,8 @@
 TELLING_WEIGHT = 2.0
 """Least weight of an answer that makes its upstream pause, and is reported.
 
-Where short answers that come soon are usual, one tells little. Balancers would report
-more of them than they may, and hold back what speaks for the upstream.
+Where short answers that come soon are usual, one says little: reports of them would
+use up the rate limit, and hold back reports of plausible answers.
 """
 
 REPORTS_PER_S = 4.0
@@ -95,8 +95,8 @@
 class OutlierDetector:
     """Finds upstreams whose answers differ from those of their peers.
 
-    A request counts as suspicious if its answer came sooner than requests of its route
-    cost anywhere and is far shorter than others, or if it is left unanswered. Balancers
+    A request counts as suspicious if its answer is far shorter than others and came
+    sooner than even cheap requests of its route are answered, or if it hangs. Balancers
     of a failure domain share each piece of evidence, since each sees few requests.
 
     Parameters
--- a/egrethook/upstreams/placement.py
+++ b/egrethook/upstreams/placement.py
@@ -27,7 +27,7 @@
 """
 
 OVERLOADED_COST_S = 30.0
-"""Cost of an upstream whose outstanding work passes the objective, in seconds."""
+"""Cost of an upstream whose expected wait exceeds the objective, in seconds."""
 
 SUMMARY_LIFE_S = 0.5
 """Time for which what candidates cost without load is kept, in seconds."""
@@ -49,9 +49,9 @@
     crowding_s : float
         Expected wait for what other balancers have placed there.
     domain_s : float
-        For another failure domain.
+        Cost of being in another failure domain.
     penalty_s : float
-        For earlier silence, and for outstanding work above the objective.
+        For earlier silence, and for an expected wait above the latency objective.
     preference_s : float
         For an upstream that other balancers prefer.
     compared_s : float
--- a/egrethook/upstreams/reach_evidence.py
+++ b/egrethook/upstreams/reach_evidence.py
@@ -23,8 +23,8 @@
 CONTACT_SILENCE_S = 0.5
 """Time without gossip from a failure domain after which it is silent, in seconds.
 
-A balancer gets about 1.7 datagrams a second from each other domain, whatever the size
-of the fleet, so this alone proves nothing.
+A balancer gets about 1.7 digests a second from each other domain in fleets above 8
+balancers, so this alone proves nothing.
 """
 
 LASTING_SILENCE_S = 2.0
--- a/egrethook/upstreams/request_costs.py
+++ b/egrethook/upstreams/request_costs.py
@@ -23,7 +23,7 @@
 """Buckets for each doubling of the cost."""
 
 BUCKET_COUNT = 30
-"""Number of buckets; the last one holds all costs above 23 s."""
+"""Number of buckets; the last one holds all costs above 16.4 s."""
 
 HALF_LIFE_S = 30.0
 """Time in which the weight of a measured request halves, in seconds."""
@@ -56,7 +56,7 @@
 """Doublings of the bytes of a request in one size class."""
 
 MAX_SIZE_CLASS = 11
-"""The last size class; holds requests of 4 MiB or more."""
+"""The last size class; holds requests of 2 MiB or more."""
 
 _LOG = PartLog("costs")
 
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -32,7 +32,8 @@
     avoided : collection of Upstream
         Upstreams that left an earlier opening of the caller unanswered.
     on_time : bool
-        Whether the opening can still meet its latency objective.
+        Whether the full limits apply: it can still meet its latency objective, or is
+        late and due its guaranteed share of the room.
     now : float
         The current time, in seconds.
     """
@@ -83,7 +84,7 @@
         ...
 
     def additional_cost(self, upstream: Upstream) -> float:
-        """Return the additional cost of an upstream, in busy flows."""
+        """Return the additional cost of an upstream, in busy flows or requests."""
         ...
 
     def preferred(self, service: str) -> Sequence[Upstream]:
--- a/egrethook/upstreams/slow_start.py
+++ b/egrethook/upstreams/slow_start.py
@@ -47,7 +47,7 @@
 
 
 class SlowStartSelector:
-    """Holds openings back while a new balancer has its window of busy flows.
+    """Holds openings back that exceed the window of a balancer that has just started.
 
     The window starts with two flows and grows with each answer. Once the fleet is
     known, it is at least the balancer's share of the slots. It never shrinks, and ends
--- a/egrethook/upstreams/subsets.py
+++ b/egrethook/upstreams/subsets.py
@@ -33,7 +33,7 @@
 """Cost of all upstreams far away on the ring, in busy flows."""
 
 AWAY_COST = 0.3
-"""Cost of the own domain's upstreams to a balancer with its place elsewhere."""
+"""Cost of its own domain's upstreams to a balancer placed elsewhere, in busy flows."""
 
 PREFERRED_COUNT = 16
 """Number of upstreams that are always compared for an opening."""
@@ -157,7 +157,7 @@
         return True
 
     def additional_cost(self, upstream: Upstream) -> float:
-        """Return the additional cost of an upstream, in busy flows."""
+        """Return the additional cost of an upstream, in busy flows or requests."""
         return self._costs.get(upstream.token, self._default_cost)
 
     def preferred(self, service: str) -> list[Upstream]:
