--- a/egrethook/forwarding/settings.py
+++ b/egrethook/forwarding/settings.py
@@ -57,8 +57,9 @@
     guarantees: Annotated[
         list[str],
         _described(
-            "guarantees that hold for this deployment; `health` switches on all "
-            "optional features, others have no effect"
+            "guarantees that hold for this deployment, with those in the environment "
+            "variable EGRETHOOK_GUARANTEES, separated by commas; `health` switches on "
+            "all optional features, others have no effect"
         ),
     ] = []
     features: Annotated[
@@ -107,6 +108,9 @@
         return [Address.parse(text) for text in self.known_peers]
 
 
+GUARANTEES_VARIABLE = "EGRETHOOK_GUARANTEES"
+"""Environment variable with further guarantees, separated by commas."""
+
 RELOADABLE_KEYS = frozenset({"known_peers", "flow_limit", "leave_s"})
 """Settings that take effect without a restart."""
 
@@ -142,12 +146,21 @@
         raise SettingsError(f"{path}: {error.strerror}") from None
     try:
         if text.lstrip().startswith(b"{"):
-            return _JSON_DECODER.decode(text)
-        return msgspec.yaml.decode(text, type=ForwarderSettings)
+            return _with_environment(_JSON_DECODER.decode(text))
+        return _with_environment(msgspec.yaml.decode(text, type=ForwarderSettings))
     except DECODING_ERRORS as error:
         raise SettingsError(f"{path}: {error}") from None
 
 
+def _with_environment(settings: ForwarderSettings) -> ForwarderSettings:
+    """Return settings with the guarantees that the environment adds."""
+    names = os.environ.get(GUARANTEES_VARIABLE, "").split(",")
+    added = [name for name in names if name]
+    if not added:
+        return settings
+    return msgspec.structs.replace(settings, guarantees=[*settings.guarantees, *added])
+
+
 def await_forwarder_settings(path: str) -> ForwarderSettings:
     """Read a settings file, waiting up to `COMPLETE_FILE_WAIT_S` until it is valid.
 
