Ask the membership for the live members of the own domain in one place

SpeedExchange listed them itself as GossipMembers.live_in_own_domain does. Behaviour is the same. ruff, mypy on the module and tests/test_speed_exchange.py pass; the whole suite wasn't run again.

--- a/egrethook/balancers/speed_exchange.py
+++ b/egrethook/balancers/speed_exchange.py
@@ -243,7 +243,7 @@
             Whether a member is known.
         """
         now = self._clock.now()
-        candidates = self._local_members(now) or [
+        candidates = self._members.live_in_own_domain(now) or [
             member.address for member in self._members.live(now)
         ]
         if not candidates:
@@ -258,7 +258,11 @@
         self._expire(now)
         estimates = self._selection.next_report(self._table.own_estimates(now), now)
         if estimates:
-            self._send(SpeedReport(estimates), self._local_members(now), REPORT_FANOUT)
+            self._send(
+                SpeedReport(estimates),
+                self._members.live_in_own_domain(now),
+                REPORT_FANOUT,
+            )
 
     def handle(self, report: SpeedReport, source: Address) -> None:
         """Apply a report of another balancer, and answer if it asks."""
@@ -339,14 +343,6 @@
         self._sender.send_to(message, targets)
         self._bytes_sent += self._sender.bytes_sent - before
 
-    def _local_members(self, now: float) -> list[Address]:
-        own = self._members.own
-        return [
-            member.address
-            for member in self._members.live(now)
-            if member.failure_domain == own.failure_domain and not member.leaving
-        ]
-
     def _expire(self, now: float) -> None:
         """Forget what no report supports any longer."""
         self._peer_speeds.expire(now)
