Log on whose evidence an open flow is reset

It now says whether this flow's own request was retransmitted, how many unanswered openings were told by other VMs, when the upstream last showed a sign of life here, and the longest recent gap between two ticks of this process. No decision changes; tests of open flows and of the dispatcher pass.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -465,6 +465,10 @@
             gets_openings=gets_openings,
             idempotent=flow.route.idempotent,
             idle_ms=round((now - flow.last_active_at) * 1000),
+            own_request_retransmitted=flow.is_retransmitted,
+            openings_told_by_peers=upstream.unanswered_by_peers,
+            since_sign_of_life_ms=_milliseconds_since(upstream.alive_at, now),
+            longest_gap_ms=round(self._interruptions.longest_gap_s * 1000),
             revision=self._view.revision,
         )
         return True
@@ -490,3 +494,8 @@
                 continue
             elif flow.state is FlowState.OPEN and idle_s > REQUEST_IDLE_TIMEOUT_S:
                 flow.mark_idle()
+
+
+def _milliseconds_since(time: float, now: float) -> int | None:
+    """Return the time since an event in milliseconds, or None if there was none."""
+    return round((now - time) * 1000) if time > float("-inf") else None
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -120,6 +120,11 @@
         """Bytes of the current or latest request that have passed."""
         return (self._request_end - self._request_start) % SEQUENCE_MODULUS
 
+    @property
+    def is_retransmitted(self) -> bool:
+        """Whether the caller has repeated the current request through this balancer."""
+        return self._busy and self._retransmitted
+
     @property
     def may_be_moved(self) -> bool:
         """Whether its caller may open another flow without running a request twice."""
--- a/egrethook/callers/interruptions.py
+++ b/egrethook/callers/interruptions.py
@@ -5,6 +5,9 @@
 MAX_MEASURED_GAP_S = 0.1
 """Time between two ticks above which the process stood still, in seconds."""
 
+GAP_MEMORY_S = 5.0
+"""Time for which the longest gap between ticks is remembered, in seconds."""
+
 
 class Interruptions:
     """Remembers the latest time at which this process went on after it stood still."""
@@ -12,13 +15,29 @@
     def __init__(self) -> None:
         self._ticked_at = float("-inf")
         self._ended_at = float("-inf")
+        self._longest_gap_s = 0.0
+        self._longest_gap_at = float("-inf")
+
+    @property
+    def longest_gap_s(self) -> float:
+        """The longest recent time between two ticks, in seconds."""
+        return self._longest_gap_s
 
     def note_tick(self, now: float) -> None:
         """Record that the process runs."""
-        if now - self._ticked_at > MAX_MEASURED_GAP_S:
+        gap_s = now - self._ticked_at
+        if gap_s > MAX_MEASURED_GAP_S:
             self._ended_at = now
+        if gap_s < float("inf"):
+            self._note_gap(gap_s, now)
         self._ticked_at = now
 
+    def _note_gap(self, gap_s: float, now: float) -> None:
+        has_aged = now - self._longest_gap_at > GAP_MEMORY_S
+        if has_aged or gap_s >= self._longest_gap_s:
+            self._longest_gap_s = gap_s
+            self._longest_gap_at = now
+
     def fall_into(self, since: float, now: float) -> bool:
         """Return whether the process stood still at some time in a period.
 
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -229,9 +229,10 @@
         self, upstream: Upstream, silent_s: float, now: float, from_peer: bool
     ) -> None:
         if now - upstream.last_unanswered_at > UNANSWERED_MEMORY_S:
-            upstream.unanswered = 0
+            upstream.unanswered = upstream.unanswered_by_peers = 0
         upstream.last_unanswered_at = now
         upstream.unanswered += 1
+        upstream.unanswered_by_peers += from_peer
         excess = upstream.unanswered - self._ejection_threshold(upstream, now)
         if excess < 0:
             return
@@ -270,7 +271,7 @@
                 upstream=upstream.name,
                 from_peer=from_peer,
             )
-        upstream.unanswered = 0
+        upstream.unanswered = upstream.unanswered_by_peers = 0
         upstream.ejected = False
         upstream.ejected_until = now
         upstream.stalled_since = None
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -72,6 +72,8 @@
         first adjusted.
     unanswered : int
         Number of consecutive unanswered openings.
+    unanswered_by_peers : int
+        How many of them other balancers have reported.
     ejected : bool
         Whether it has been ejected since its last answer.
     answered_at, last_unanswered_at : float
@@ -119,6 +121,7 @@
         "stalled_since",
         "token",
         "unanswered",
+        "unanswered_by_peers",
     )
 
     def __init__(self, record: UpstreamRecord, now: float) -> None:
@@ -135,6 +138,7 @@
         self.requests: dict[RequestInProgress, None] = {}
         self.flow_limit: float | None = None
         self.unanswered = 0
+        self.unanswered_by_peers = 0
         self.answered_at = float("-inf")
         self.last_unanswered_at = float("-inf")
         self.last_served_at = float("-inf")
