Reproduce resets of open flows whose upstream is sound

Callers saw an open flow reset by a VM while its upstream served. The simulation learns to hand a VM's packets to another one; the random worlds so far never moved a flow between VMs, which is why they saw nothing.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -256,7 +256,7 @@
         elif not self._held_packets.add(packet):
             self._output.drop("no route, view not fresh")
 
-    def refuse_queued(self) -> None:
+    def refuse_queued(self, now: float) -> None:
         """Refuse all queued openings, because the process ends."""
         self._queues.refuse_all()
 
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -186,6 +186,7 @@
         self.resets = 0
         self.upstreams_of_reset_flows: list[str] = []
         self._calls_by_port: dict[int, Call] = {}
+        self._redirects: dict[int, int] = {}
         self._vm_numbers = itertools.count()
         self.vms = [self._new_vm(domain) for domain in domains]
         for vm in self.vms:
@@ -305,6 +306,11 @@
         vm.paused = True
         self.after(duration_s, partial(self._resume, vm))
 
+    def redirect(self, vm: int, other: int, duration_s: float) -> None:
+        """Hand the packets of a balancer's callers to another one for a while."""
+        self._redirects[vm] = other
+        self.after(duration_s, partial(self._redirects.pop, vm, None))
+
     def _resume(self, vm: SimulatedVm) -> None:
         vm.paused = False
         packets, vm.waiting_packets = vm.waiting_packets, []
@@ -453,7 +459,7 @@
             self._send(call, ACK, bytes(REQUEST_BYTES))
 
     def _send_to_vm(self, call: Call, packet: bytes) -> None:
-        vm = self.vms[call.vm]
+        vm = self.vms[self._redirects.get(call.vm, call.vm)]
         if self._loss_share and self.rng.random() < self._loss_share:
             return
 
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -272,7 +272,7 @@
     def finish_leave(self) -> None:
         """Handle what has arrived, and refuse what would be lost with the process."""
         self.handle_ready_packets()
-        self._dispatcher.refuse_queued()
+        self._dispatcher.refuse_queued(self._clock.now())
 
     def apply_settings(self, settings: ForwarderSettings) -> None:
         """Apply the settings that need no restart."""
--- /dev/null
+++ b/tests/open_flow_harness.py
@@ -0,0 +1,46 @@
+"""A dispatcher with two open flows at one upstream, without a network."""
+
+from __future__ import annotations
+
+from dispatcher_harness import DispatcherHarness, packet
+
+from egrethook.discovery.records import ItemKind
+from egrethook.emulator.flow_records import route_table
+from egrethook.platform.packet_header import ACK, SYN
+
+
+def flow_request(harness, port, name, now, sequence=1, ack=1):
+    """Send a request, or a retransmission of it, on an open flow."""
+    harness.advance(now)
+    echo = harness.upstream(name).token
+    data = packet(port, ACK, echo=echo, ack=ack, sequence=sequence, data=bytes(10))
+    harness.dispatcher.handle(data, now)
+
+
+def flow_answered(harness, port, name, now, ack):
+    harness.advance(now)
+    echo = harness.upstream(name).token
+    harness.dispatcher.handle(packet(port, ACK, echo=echo, ack=ack, sequence=11), now)
+
+
+def leave_openings_unanswered(harness, now):
+    """Two openings to "a" get no answer, which ejects it."""
+    for port in (3000, 3001):
+        harness.dispatcher.handle(packet(port, SYN), now)
+    harness.advance(now + 0.1)
+    assert harness.upstream("a").ejected
+    harness.sent()
+
+
+def harness_with_open_flows(idempotent=True):
+    """Flows 2000 and 2001 are open at "a"; both have had their first answer."""
+    harness = DispatcherHarness(names=("a",))
+    harness.now = -5.0
+    harness.advance(0.0)
+    table = route_table(version=2, idempotent=idempotent)
+    harness.put(ItemKind.ROUTES, "", table)
+    for port in (2000, 2001):
+        flow_request(harness, port, "a", 0.02)
+        flow_answered(harness, port, "a", 0.05, ack=100)
+        harness.sent()
+    return harness
--- a/tests/test_flow_dispatch.py
+++ b/tests/test_flow_dispatch.py
@@ -447,7 +447,7 @@
     harness.dispatcher.handle(packet(2000, SYN), 0.0)
     harness.dispatcher.handle(packet(2001, SYN), 0.0)
     assert harness.dispatcher.waiting == 1
-    harness.dispatcher.refuse_queued()
+    harness.dispatcher.refuse_queued(0.0)
     assert reset_callers(harness) == [2001]
     assert harness.dispatcher.counts.reset == {"process leaving": 1}
 
--- a/tests/test_flow_load.py
+++ b/tests/test_flow_load.py
@@ -482,3 +482,47 @@
         for seed in range(10)
     ]
     assert sum(count > 0 for count in resets) >= 6
+
+
+def move_flows_between_balancers(seed):
+    """All upstreams are sound; some requests are long, and balancers start again.
+
+    Packets queue at a balancer that starts, until the router hands them to another one
+    for a while. What has queued is handled late: its flows have opened meanwhile.
+    """
+    choices = random.Random(seed)
+    world = FlowWorld(seed, DOMAINS * 3)
+    for number in range(6):
+        world.add_upstream(f"up-{number}", DOMAINS[number % 2])
+    for vm in world.vms:
+        world.publish(vm)
+
+    def service_time_s():
+        if world.rng.random() < 0.05:
+            return world.rng.uniform(0.6, 1.6)
+        return world.rng.uniform(0.01, 0.05)
+
+    def pause_s():
+        return world.rng.expovariate(0.8)
+
+    world.draw_service_time_s = service_time_s
+    for number in range(90):
+        keep = partial(world.call, number % 6, think_time_s=pause_s, deadline_s=3.0)
+        world.after(number * 0.02, keep)
+    offer_load(world, 40.0, 0.0, 10.0)
+
+    def restart(vm):
+        world.pause(world.vms[vm], 0.8)
+        leave = partial(world.redirect, vm, (vm + 2) % 6, 1.0)
+        world.after(0.3, leave)
+
+    for number in range(12):
+        vm = choices.randrange(6)
+        world.after(choices.uniform(0.6, 0.9) * (number + 1), partial(restart, vm))
+    world.run(12.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_flows_that_move_between_balancers_are_not_reset(seed):
+    assert move_flows_between_balancers(seed).upstreams_of_reset_flows == []
