Refuse no queued opening whose copy another VM may have opened

Callers may see a reset on a flow that they have opened: a VM that leaves refused all openings that waited in it, though the router had sent copies of them to other VMs. Cause: only the queue of hopeless openings asked whether all copies were seen here. The refusal at the end of the process now asks, too, and drops what may be open elsewhere; an opening of the last 0.1 s is refused as before. A refusal carries sequence number 0, so callers with an open flow may ignore it: that this one was what the users saw is only suspected.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -257,8 +257,8 @@
             self._output.drop("no route, view not fresh")
 
     def refuse_queued(self, now: float) -> None:
-        """Refuse all queued openings, because the process ends."""
-        self._queues.refuse_all()
+        """Refuse the queued openings, because the process ends."""
+        self._queues.refuse_all(now)
 
     def view_changed(self, now: float) -> None:
         """Handle the held packets again; the view may route them by now."""
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -25,6 +25,9 @@
 OPENING_SEND_OFFSETS_S = (0.0, 0.2, 0.6)
 """When a caller sends an opening and its retransmissions, in seconds."""
 
+REFUSAL_MARGIN_S = 0.1
+"""Time for which a packet may have been under way or queued here, in seconds."""
+
 _ALL_COPIES = (1 << len(OPENING_SEND_OFFSETS_S)) - 1
 """Bit mask of the copies of an opening."""
 
@@ -101,6 +104,19 @@
         """Whether all copies of the opening came here, and to no other balancer."""
         return self._copies_seen == _ALL_COPIES
 
+    def is_refused_safely(self, now: float) -> bool:
+        """Return whether no copy of the opening can have gone to another balancer.
+
+        A copy that is just due counts as sent.
+        """
+        elapsed_s = now - self.first_sent_at + REFUSAL_MARGIN_S
+        sent = [elapsed_s >= offset_s for offset_s in OPENING_SEND_OFFSETS_S]
+        return all(
+            self._copies_seen >> copy & 1
+            for copy, is_sent in enumerate(sent)
+            if is_sent
+        )
+
     def note_copy(self, segment: Segment) -> None:
         """Record that a copy of the opening has come, while it waits."""
         self._copies_seen |= 1 << _copy_index(segment)
--- a/egrethook/callers/opening_queues.py
+++ b/egrethook/callers/opening_queues.py
@@ -149,12 +149,19 @@
         if not queue:
             self._policy.note_empty(service, now)
 
-    def refuse_all(self) -> None:
-        """Refuse all queued openings, which have not run, because the process ends."""
+    def refuse_all(self, now: float) -> None:
+        """Refuse all queued openings, which have not run, because the process ends.
+
+        One that may have been opened through another balancer is dropped.
+        """
         for flow in list(self._flows.values()):
-            if flow.state is FlowState.WAITING:
+            if flow.state is not FlowState.WAITING:
+                continue
+            if flow.is_refused_safely(now):
                 del self._flows[flow.segment.flow]
                 self._output.reset(flow.segment, "process leaving")
+            else:
+                self._drop(flow, 0, now)
 
     def _refuse_hopeless(self, queue: OpeningQueue, now: float) -> None:
         """Refuse what can't be served in time; drop it if its caller has given up.
