Take no silence from late copies of openings

Callers saw flows of sound upstreams reset, and copies of their openings could reach three other upstreams. Whether those flows were open by then no log says; the tests show that it happens, and that the silence is counted. Cause: an opening whose first copy went to another VM is handled like a new one. Now a copy goes to one upstream, and shows no silence; the caller's next copy, which proves that the flow is not open, goes to another upstream as before.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -328,6 +328,8 @@
         silent = flow.tried[-1]
         # An unanswered opening occupies no capacity at its upstream.
         flow.release()
+        if flow.may_be_open_elsewhere:
+            return
         if flow.sent_at + CALLER_TIMEOUT_MARGIN_S < flow.caller_timeout_at:
             self._health.note_unanswered_opening(silent, flow.sent_at, now)
         if len(flow.tried) >= MAX_UPSTREAMS_PER_OPENING or now > flow.caller_timeout_at:
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -104,6 +104,11 @@
         """Whether all copies of the opening came here, and to no other balancer."""
         return self._copies_seen == _ALL_COPIES
 
+    @property
+    def may_be_open_elsewhere(self) -> bool:
+        """Whether an earlier copy of the opening went to another balancer."""
+        return _copy_index(self.segment) > 0
+
     def is_refused_safely(self, now: float) -> bool:
         """Return whether no copy of the opening can have gone to another balancer.
 
