Judge an open flow by the upstream that its token names

Callers saw flows of sound upstreams reset. A VM that had sent an opening to one upstream kept the flow there in its table, though the caller had opened it at another one through another VM (or anew, from the same port). The silence of the first was then the flow's, its answers were credited to the first, and further copies of the opening were sent. Cause: the flow table was believed, not the packet's own token, which the upstream that holds the flow has echoed. Two tests of tests/test_sound_flows.py failed before: a flow opened elsewhere, and a flow opened anew on a known port.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -353,6 +353,8 @@
         flow = self._flows.get(segment.flow)
         if flow is None and upstream is not None and segment.length:
             flow = self._track_flow_opened_elsewhere(segment, upstream, now)
+        if flow is not None and upstream is not None:
+            self._follow_token(flow, segment, upstream, now)
         if flow is not None:
             self._update_flow(flow, segment, upstream, now)
             if segment.flow in self._flows and self._reset_if_gone(flow, now):
@@ -387,6 +389,21 @@
         self._flows[segment.flow] = flow
         return flow
 
+    def _follow_token(
+        self, flow: ForwardedFlow, segment: Segment, upstream: Upstream, now: float
+    ) -> None:
+        """Let a flow count at the upstream that its token names.
+
+        It may have been opened there through another balancer.
+        """
+        if flow.state is FlowState.WAITING or upstream in flow.tried:
+            return
+        self._resend_due_at.pop(flow.segment.flow, None)
+        flow.segment = segment
+        flow.open_at(upstream, segment, now)
+        if not segment.length:
+            flow.mark_idle()
+
     def _update_flow(
         self,
         flow: ForwardedFlow,
