Reset an open flow only on proof about that very flow

Cause: what ended a flow was the state of its upstream as inferred from other flows. A retransmitted request of any flow, which a long request brings about as well, and two unanswered openings, which other VMs may have reported and which were dated by when they were found, condemned all flows of the upstream, idle ones included; at an upstream without openings the long request alone did. Class: absence of evidence taken as evidence of absence, about another subject, and second-hand.

Now a flow is reset only while its own caller repeats its request through this VM for the second time, nothing was heard of the upstream since the first, and one proof holds (upstreams/gone_proof.py): the registry removed the record longer ago than a lapse lasts; or this VM's own latest two openings there, sent since the upstream's last sign of life and at most 2 s before the request, went unanswered while other upstreams were heard through this VM. Neither counts if this process stood still meanwhile.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -52,6 +52,12 @@
 }
 """Time without packets after which a flow is removed, by state, in seconds."""
 
+MAX_UNNOTICED_GAP_S = 0.3
+"""Time between two ticks above which silence proves nothing, in seconds.
+
+An idle process ticks at every housekeeping, five times a second.
+"""
+
 MAX_TICK_INTERVAL_S = 0.5
 """Time between two ticks above which the process was interrupted, in seconds."""
 
@@ -133,6 +139,7 @@
         self._last_expiry_at = 0.0
         self._ticked_at = float("-inf")
         self._interruptions = Interruptions()
+        self._long_interruptions = Interruptions(MAX_UNNOTICED_GAP_S)
         self._view_is_fresh = False
 
     @property
@@ -190,6 +197,7 @@
             self._health.note_interruption(now)
         self._ticked_at = now
         self._interruptions.note_tick(now)
+        self._long_interruptions.note_tick(now)
         resend_due_at = self._resend_due_at
         while resend_due_at:
             flow_key, due = next(iter(resend_due_at.items()))
@@ -356,8 +364,8 @@
         if flow is not None and upstream is not None:
             self._follow_token(flow, segment, upstream, now)
         if flow is not None:
-            self._update_flow(flow, segment, upstream, now)
-            if segment.flow in self._flows and self._reset_if_gone(flow, now):
+            is_repeated = self._update_flow(flow, segment, upstream, now)
+            if is_repeated and self._reset_if_gone(flow, now):
                 return
         if upstream is None:
             self._handle_unknown_token(packet)
@@ -410,17 +418,26 @@
         segment: Segment,
         upstream: Upstream | None,
         now: float,
-    ) -> None:
-        """Update the state of a flow from one of its packets."""
+    ) -> bool:
+        """Update the state of a flow from one of its packets.
+
+        Returns
+        -------
+        bool
+            Whether the packet repeats a request that is unanswered.
+        """
         flow.last_active_at = now
+        is_repeated = False
         if flow.state is FlowState.OPEN:
             flow.segment = segment
-            self._track_requests(flow, segment, now)
+            is_repeated = self._track_requests(flow, segment, now)
         elif flow.state is FlowState.SENT and upstream in flow.tried:
             self._mark_open(flow, segment, upstream, now)
         if segment.closes or segment.aborts:
             self._remove_flow(flow)
             self._queues.serve(flow.service, now)
+            return False
+        return is_repeated
 
     def _mark_open(
         self, flow: ForwardedFlow, segment: Segment, upstream: Upstream, now: float
@@ -435,8 +452,14 @@
 
     def _track_requests(
         self, flow: ForwardedFlow, segment: Segment, now: float
-    ) -> None:
-        """Detect requests and their answers; the flow is busy in between."""
+    ) -> bool:
+        """Detect requests and their answers; the flow is busy in between.
+
+        Returns
+        -------
+        bool
+            Whether the packet repeats a request that is unanswered.
+        """
         if flow.is_answered_by(segment):
             service_s = now - flow.sent_at
             upstream = flow.tried[0]
@@ -449,10 +472,11 @@
             for listener in self._listeners:
                 listener.request_answered(outcome, now)
             flow.record_answer(segment)
+        is_repeated = flow.is_retransmission(segment, now)
         if flow.is_new_data(segment):
             flow.record_request(segment, now)
-        elif flow.is_retransmission(segment, now):
-            flow.note_retransmission()
+        elif is_repeated:
+            flow.note_retransmission(now)
             self._health.note_stalled_request(flow.tried[0], flow.sent_at, now)
             for stall_listener in self._stall_listeners:
                 stall_listener.request_stalled(
@@ -460,32 +484,31 @@
                 )
         if not flow.is_busy:
             self._queues.serve(flow.service, now)
+        return is_repeated
 
     def _reset_if_gone(self, flow: ForwardedFlow, now: float) -> bool:
         """Reset an open flow whose upstream is gone, so that its caller opens another.
 
-        A request that must not run twice is left to its caller's timeout, since it may
-        have run.
+        The caller has just repeated its request. One that must not run twice is left
+        to its caller's timeout, since it may have run.
         """
-        if flow.state is not FlowState.OPEN or not flow.may_be_moved:
+        if not flow.route.idempotent:
+            return False
+        if self._long_interruptions.fall_into(flow.sent_at, now):
             return False
-        upstream = flow.tried[0]
-        gets_openings = self._view.accepts_flows(upstream)
-        if not self._health.is_gone(upstream, gets_openings, now):
+        upstream, request = flow.tried[0], flow.silent_request
+        proof = self._health.gone_proof(upstream, request, now)
+        if proof is None:
             return False
-        silent_since = upstream.stalled_since or now
         self._remove_flow(flow)
         self._output.abort(
             flow.segment,
             "upstream gone",
             upstream=upstream.name,
-            silent_ms=round((now - silent_since) * 1000),
-            silent_openings=upstream.unanswered,
-            gets_openings=gets_openings,
-            idempotent=flow.route.idempotent,
-            idle_ms=round((now - flow.last_active_at) * 1000),
-            own_request_retransmitted=flow.is_retransmitted,
-            openings_told_by_peers=upstream.unanswered_by_peers,
+            proof=proof.value,
+            silent_ms=round((now - request.sent_at) * 1000),
+            repeated_ms=_milliseconds_since(request.repeated_at[0], now),
+            silent_openings=len(upstream.silent_openings),
             since_sign_of_life_ms=_milliseconds_since(upstream.alive_at, now),
             longest_gap_ms=round(self._interruptions.longest_gap_s * 1000),
             revision=self._view.revision,
@@ -509,8 +532,6 @@
             idle_s = now - flow.last_active_at
             if idle_s > _FLOW_IDLE_TIMEOUTS_S[flow.state]:
                 self._remove_flow(flow)
-            elif self._reset_if_gone(flow, now):
-                continue
             elif flow.state is FlowState.OPEN and idle_s > REQUEST_IDLE_TIMEOUT_S:
                 flow.mark_idle()
 
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -13,6 +13,7 @@
 from egrethook.discovery.records import Route
 from egrethook.histogram import LatencyHistogram
 from egrethook.label_counts import LabelCounts
+from egrethook.upstreams.gone_proof import MIN_RETRANSMISSIONS, SilentRequest
 from egrethook.upstreams.requests import RequestOutcome
 from egrethook.upstreams.upstream import Upstream
 
@@ -78,10 +79,9 @@
     _upstream: Upstream | None = None
     _busy: bool = False
     _request_end: int = 0
-    _request_waits: bool = False
     _acknowledged: int = 0
     _request_start: int = 0
-    _retransmitted: bool = False
+    _repeated_at: tuple[float, ...] = ()
     _found_busy: int = 0
 
     @property
@@ -142,14 +142,9 @@
         return (self._request_end - self._request_start) % SEQUENCE_MODULUS
 
     @property
-    def is_retransmitted(self) -> bool:
-        """Whether the caller has repeated the current request through this balancer."""
-        return self._busy and self._retransmitted
-
-    @property
-    def may_be_moved(self) -> bool:
-        """Whether its caller may open another flow without running a request twice."""
-        return not self._request_waits or self.route.idempotent
+    def silent_request(self) -> SilentRequest:
+        """The current request, as evidence that nothing has answered it."""
+        return SilentRequest(self.sent_at, self._repeated_at)
 
     def can_be_on_time(self, now: float) -> bool:
         """Return whether an opening sent now can meet its latency objective."""
@@ -197,8 +192,7 @@
         self.sent_at = self.last_active_at = now
         self._request_start = segment.sequence
         self._request_end = segment.end
-        self._request_waits = True
-        self._retransmitted = False
+        self._repeated_at = ()
         self._acknowledged = segment.acknowledged
         self._found_busy = upstream.busy_flows - 1
 
@@ -222,7 +216,7 @@
             request_bytes=self.request_bytes,
             answer_bytes=(segment.acknowledged - self._acknowledged) % SEQUENCE_MODULUS,
             service_s=service_s,
-            retransmitted=self._retransmitted,
+            retransmitted=bool(self._repeated_at),
             found_busy=self._found_busy,
             interrupted=interrupted or self.tried[0].stalled_since is not None,
         )
@@ -230,7 +224,6 @@
     def record_answer(self, segment: Segment) -> None:
         """Record that the current request is answered, and mark the flow idle."""
         self._acknowledged = segment.acknowledged
-        self._request_waits = False
         self.mark_idle()
 
     def is_new_data(self, segment: Segment) -> bool:
@@ -249,18 +242,22 @@
             and now - self.sent_at >= MIN_RETRANSMISSION_TIMEOUT_S
         )
 
-    def note_retransmission(self) -> None:
-        """Record that the current request was sent more than once."""
-        self._retransmitted = True
+    def note_retransmission(self, now: float) -> None:
+        """Record that the current request was repeated.
+
+        Copies that were queued together count once.
+        """
+        latest = self._repeated_at[-1:]
+        if not latest or now - latest[0] >= MIN_RETRANSMISSION_TIMEOUT_S:
+            self._repeated_at = (*latest, now)[-MIN_RETRANSMISSIONS:]
 
     def record_request(self, segment: Segment, now: float) -> None:
         """Record the data of a new request, or more data of the current one."""
         begins = not self._busy or not self.request_bytes
         self._request_end = segment.end
-        self._request_waits = True
         if begins:
             self._request_start = segment.sequence
-            self._retransmitted = False
+            self._repeated_at = ()
             self._acknowledged = segment.acknowledged
             self.sent_at = now
             self.occupy(self.tried[0])
--- a/egrethook/callers/interruptions.py
+++ b/egrethook/callers/interruptions.py
@@ -10,9 +10,16 @@
 
 
 class Interruptions:
-    """Remembers the latest time at which this process went on after it stood still."""
+    """Remembers the latest time at which this process went on after it stood still.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    max_gap_s : float
+        Time between two ticks above which the process stood still, in seconds.
+    """
+
+    def __init__(self, max_gap_s: float = MAX_MEASURED_GAP_S) -> None:
+        self._max_gap_s = max_gap_s
         self._ticked_at = float("-inf")
         self._ended_at = float("-inf")
         self._longest_gap_s = 0.0
@@ -26,7 +33,7 @@
     def note_tick(self, now: float) -> None:
         """Record that the process runs."""
         gap_s = now - self._ticked_at
-        if gap_s > MAX_MEASURED_GAP_S:
+        if gap_s > self._max_gap_s:
             self._ended_at = now
         if gap_s < float("inf"):
             self._note_gap(gap_s, now)
@@ -43,4 +50,4 @@
 
         Packets that piled up are handled before the next tick.
         """
-        return since <= self._ended_at or now - self._ticked_at > MAX_MEASURED_GAP_S
+        return since <= self._ended_at or now - self._ticked_at > self._max_gap_s
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -309,7 +309,11 @@
     def redirect(self, vm: int, other: int, duration_s: float) -> None:
         """Hand the packets of a balancer's callers to another one for a while."""
         self._redirects[vm] = other
-        self.after(duration_s, partial(self._redirects.pop, vm, None))
+
+        def end() -> None:
+            self._redirects.pop(vm, None)
+
+        self.after(duration_s, end)
 
     def _resume(self, vm: SimulatedVm) -> None:
         vm.paused = False
--- a/egrethook/operators/explain.py
+++ b/egrethook/operators/explain.py
@@ -19,8 +19,8 @@
     " not answer ({silent_openings} consecutive openings unanswered);"
     " resent to {upstream}",
     "flows: an opening is refused.": "refused and not run: {reason}",
-    "flows: an open flow is reset.": "reset while open: {reason}; {upstream} has"
-    " answered nothing for {silent_ms} ms ({silent_openings} openings unanswered)",
+    "flows: an open flow is reset.": "reset while open: {reason} ({proof}); {upstream}"
+    " has left its request unanswered for {silent_ms} ms",
     "flows: an opening is dropped; its caller has given up.": "dropped after"
     " {waited_ms} ms in the queue, with {waiting} openings waiting",
     "flows: a packet's token is not known; it is dropped.": "packet dropped:"
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -1,7 +1,7 @@
 """Passive health checking from the packets of callers.
 
-Upstreams that leave openings, the first packets of flows, unanswered are ejected. One
-that leaves requests on its open flows unanswered as well is gone.
+Upstreams that leave openings, the first packets of flows, unanswered are ejected: they
+get no new flows for a while. What ends an open flow is stricter, see `gone_proof`.
 """
 
 from __future__ import annotations
@@ -10,6 +10,12 @@
 from zlib import crc32
 
 from egrethook.logs import PartLog
+from egrethook.upstreams.gone_proof import (
+    GoneProof,
+    Hearing,
+    SilentRequest,
+    find_proof,
+)
 from egrethook.upstreams.reach_evidence import ReachEvidence
 from egrethook.upstreams.upstream import Upstream
 
@@ -32,24 +38,6 @@
 DOMAIN_REACHABLE_S = 1.0
 """Time for which an answer proves that its failure domain is reachable, in seconds."""
 
-GONE_AFTER_S = 0.5
-"""Age of an unanswered request at which an ejected upstream is gone, in seconds.
-
-Callers have retransmitted it by then.
-"""
-
-GONE_WITHOUT_OPENINGS_S = 1.2
-"""The same age for an upstream that gets no openings, in seconds.
-
-Callers have retransmitted the request three times by then.
-"""
-
-CONFIRMED_STALL_S = 0.5
-"""Age of an unanswered request at which a retransmission confirms it, in seconds.
-
-The caller has retransmitted it before; its flow still goes through this balancer.
-"""
-
 STALL_MEMORY_S = 2.0
 """Time without retransmissions after which a silence proves nothing, in seconds.
 
@@ -112,6 +100,7 @@
         self._domain_answered_at: dict[str, float] = {}
         self._domain_unanswered_at: dict[str, float] = {}
         self._started_at = float("-inf")
+        self._last_heard_at = float("-inf")
         self._reach_evidence = ReachEvidence()
 
     @property
@@ -134,6 +123,7 @@
         if upstream.answered_at > sent_at:
             return
         self._domain_unanswered_at[upstream.domain] = now
+        upstream.silent_openings.append(sent_at)
         self._reach_evidence.note_unanswered(upstream.domain, sent_at, now)
         self._count_unanswered(upstream, now - sent_at, now, from_peer=False)
         # Without recent answers from this domain, the fault may be on this side, so
@@ -149,14 +139,17 @@
         if upstream.ejected:
             self._notify(upstream, HealthObservation(True))
         upstream.answered_at = self._domain_answered_at[upstream.domain] = now
-        upstream.alive_at = now
-        self._reach_evidence.note_answer(upstream.domain, now)
+        self._note_sign_of_life(upstream, now)
         self._reinstate(upstream, now, from_peer=False)
 
     def note_progress(self, upstream: Upstream, now: float) -> None:
         """Record that a request on an open flow was answered, even in part."""
-        upstream.alive_at = now
         upstream.stalled_since = None
+        self._note_sign_of_life(upstream, now)
+
+    def _note_sign_of_life(self, upstream: Upstream, now: float) -> None:
+        upstream.alive_at = self._last_heard_at = now
+        upstream.silent_openings.clear()
         self._reach_evidence.note_answer(upstream.domain, now)
 
     def note_stalled_request(
@@ -178,32 +171,16 @@
         self._started_at = now
         self._reach_evidence.forget_unanswered()
 
-    def is_gone(self, upstream: Upstream, gets_openings: bool, now: float) -> bool:
-        """Return whether an upstream shows no sign of life any more.
-
-        Requests on its open flows are unanswered although they were retransmitted, and
-        so are openings since its last answer of any kind. One that only refuses new
-        flows, or is slow, is not gone.
+    def gone_proof(
+        self, upstream: Upstream, request: SilentRequest, now: float
+    ) -> GoneProof | None:
+        """Return what proves that the upstream of an open flow is gone, if anything.
 
-        Parameters
-        ----------
-        gets_openings : bool
-            Whether new flows may go to the upstream. If not, its open flows decide.
+        Just after a start or a suspension nothing does.
         """
-        if upstream.stalled_since is None or now - self._started_at < SETTLING_S:
-            return False
-        if _has_lapsed(upstream, now):
-            return False
-        stalled_s = now - upstream.stalled_since
-        if gets_openings:
-            refuses_openings = (
-                upstream.ejected
-                and upstream.last_unanswered_at > upstream.alive_at
-                and now - upstream.last_unanswered_at <= UNANSWERED_MEMORY_S
-            )
-            return refuses_openings and stalled_s >= GONE_AFTER_S
-        confirmed_s = upstream.stall_seen_at - upstream.stalled_since
-        return confirmed_s >= CONFIRMED_STALL_S and stalled_s >= GONE_WITHOUT_OPENINGS_S
+        if now - self._started_at < SETTLING_S:
+            return None
+        return find_proof(upstream, request, Hearing(self._last_heard_at, now))
 
     def domain_silent_since(self, domain: str) -> float | None:
         """Return since when a failure domain leaves openings unanswered, if it does.
--- a/tests/open_flow_harness.py
+++ b/tests/open_flow_harness.py
@@ -32,6 +32,12 @@
     harness.sent()
 
 
+def hear_of_another_upstream(harness, now):
+    """A request at "b" is answered, so that callers' packets still come here."""
+    flow_request(harness, 4000, "b", now - 0.01)
+    flow_answered(harness, 4000, "b", now, ack=100)
+
+
 def harness_with_open_flows(idempotent=True):
     """Flows 2000 and 2001 are open at "a"; both have had their first answer."""
     harness = DispatcherHarness(names=("a",))
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -165,6 +165,7 @@
     world.run(1.0)
     stalled = vm.view.upstreams.get("up-5")
     stalled.stalled_since = 0.0
+    stalled.stall_seen_at = 0.9
     first = explain(world, vm).candidates[0]
     assert first.upstream is stalled and first.reason is Reason.CHECK
     assert stalled.checked_at == float("-inf")
