Bound the pause of a flow limit below 1 by the callers' opening timeout

Cause: the pause is the average service time over the limit. After a silence that is up to 25 s (2.5 s at a limit of 0.1), and nothing corrects either while it lasts.

Change: while the limit is below 1, a pause lasts at most 1.4 s, after which callers abandon an opening. Each prompt answer doubles such a limit, so four pauses lead from 0.1 to above 1. Limits of 1 or more are as before, also the pauses of late openings there; a test holds that.

--- a/egrethook/upstreams/flow_limit.py
+++ b/egrethook/upstreams/flow_limit.py
@@ -27,6 +27,12 @@
 MIN_FLOW_LIMIT = 0.1
 """Lower bound of the limit, in busy flows."""
 
+MAX_PAUSE_S = 1.4
+"""Upper bound of a pause while the limit is below 1, in seconds.
+
+Callers abandon an opening after that time.
+"""
+
 INITIAL_LATE_SHARE = 0.25
 """Fraction of the limit that late openings may use before the first answers."""
 
@@ -106,7 +112,7 @@
     def admits(self, upstream: Upstream, now: float, on_time: bool) -> bool:
         """Return whether one more flow may become busy."""
         lower_bound = self._lower_bound(upstream.service)
-        limit = max(self._limit(upstream), lower_bound)
+        limit = full_limit = max(self._limit(upstream), lower_bound)
         if not on_time:
             limit = self._late_limit(upstream.service, limit, lower_bound)
         if limit >= 1.0:
@@ -114,6 +120,9 @@
         if upstream.busy_flows:
             return False
         pause_s = max(upstream.service_time_s, ALWAYS_PROMPT_S) / limit
+        if full_limit < 1.0:
+            # Nothing is admitted during a pause, and only answers adjust the limit.
+            pause_s = min(pause_s, MAX_PAUSE_S)
         return now - upstream.last_served_at >= pause_s
 
     def limit_of(self, upstream: Upstream, on_time: bool) -> float:
--- a/tests/test_flow_limit_recovery.py
+++ b/tests/test_flow_limit_recovery.py
@@ -9,8 +9,13 @@
 import pytest
 from dispatcher_harness import DispatcherHarness, packet
 
+from egrethook.callers.forwarded_flow import OPENING_TIMEOUT_S
 from egrethook.discovery.records import ItemKind
-from egrethook.emulator.flow_records import NoColdLimit, route_table
+from egrethook.emulator.flow_records import (
+    NoColdLimit,
+    route_table,
+    upstream_record,
+)
 from egrethook.emulator.packets import Packet
 from egrethook.forwarding.data_path import build_data_path
 from egrethook.platform.packet_header import (
@@ -20,7 +25,8 @@
     SYN,
     PacketHeader,
 )
-from egrethook.upstreams.flow_limit import AimdFlowLimit
+from egrethook.upstreams.flow_limit import MAX_PAUSE_S, AimdFlowLimit
+from egrethook.upstreams.upstream import Upstream
 
 SERVICE_S = 0.02
 """Service time before and after the silence, and the time step, in seconds."""
@@ -123,3 +129,35 @@
     unserved, begun = harness.unserved_after(RECOVERY_S, duration_s=20.0)
     assert begun > 100
     assert unserved == 0
+
+
+def silenced_upstream(flow_limit):
+    """Return an upstream that last answered at 0 s, on average after 3 s."""
+    upstream = Upstream(upstream_record("a", "zone"), 0.0)
+    upstream.flow_limit = flow_limit
+    upstream.service_time_s = 3.0
+    upstream.last_served_at = 0.0
+    return upstream
+
+
+@pytest.mark.parametrize("on_time", [True, False])
+@pytest.mark.parametrize("flow_limit", [0.1, 0.5, 0.99])
+def test_pause_below_a_limit_of_one_is_bounded(flow_limit, on_time):
+    limit, upstream = AimdFlowLimit(2), silenced_upstream(flow_limit)
+    assert not limit.admits(upstream, 0.99 * MAX_PAUSE_S, on_time)
+    assert limit.admits(upstream, MAX_PAUSE_S, on_time)
+
+
+def test_callers_of_new_openings_outlast_a_pause():
+    assert MAX_PAUSE_S <= OPENING_TIMEOUT_S
+
+
+@pytest.mark.parametrize("flow_limit", [1.0, 2.0])
+def test_pause_of_late_openings_at_a_limit_of_one_or_more_is_not_bounded(flow_limit):
+    """Openings that are on time need no pause there, and adjust the limit."""
+    limit, upstream = AimdFlowLimit(2), silenced_upstream(flow_limit)
+    pause_s = 3.0 / limit.limit_of(upstream, on_time=False)
+    assert pause_s > MAX_PAUSE_S
+    assert limit.admits(upstream, 0.0, on_time=True)
+    assert not limit.admits(upstream, 0.99 * pause_s, on_time=False)
+    assert limit.admits(upstream, pause_s, on_time=False)
