Place a new opening on the port of a flow that ended unseen

Callers' openings could go to an upstream that drains, is out of service or has ended: where a VM still held an open flow of the same port (its end had passed through another VM), it took the new opening for a copy and sent it to the old flow's upstream. Cause: only the port was compared. An opening with another sequence number, or one later than any copy of a flow that was opened elsewhere, now begins a flow of its own.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -221,7 +221,9 @@
     def _handle_opening(self, packet: ReceivedPacket, now: float) -> None:
         segment, datagram, arrived_at = packet
         flow = self._flows.get(segment.flow)
-        if flow is not None:
+        if flow is not None and flow.is_replaced_by(segment, now):
+            self._remove_flow(flow)
+        elif flow is not None:
             self._handle_repeated_opening(flow, segment, datagram, now)
             return
         route = self._view.route(segment.target)
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -83,6 +83,23 @@
     _request_start: int = 0
     _repeated_at: tuple[float, ...] = ()
     _found_busy: int = 0
+    _opening_sequence: int | None = None
+
+    def __post_init__(self) -> None:
+        if self.segment.opens:
+            self._opening_sequence = self.segment.sequence
+
+    def is_replaced_by(self, opening: Segment, now: float) -> bool:
+        """Return whether an opening begins another flow on the port of an open one.
+
+        Of a flow that was opened elsewhere, no copy comes later than its caller's
+        opening timeout.
+        """
+        if self.state is not FlowState.OPEN:
+            return False
+        if self._opening_sequence is None:
+            return now - self.arrived_at > OPENING_TIMEOUT_S
+        return opening.sequence != self._opening_sequence
 
     @property
     def first_sent_at(self) -> float:
--- a/tests/test_sound_flows.py
+++ b/tests/test_sound_flows.py
@@ -15,7 +15,7 @@
     leave_openings_unanswered,
 )
 
-from egrethook.discovery.records import ItemKind
+from egrethook.discovery.records import ItemKind, UpstreamPhase
 from egrethook.emulator.flow_records import upstream_record
 from egrethook.platform.packet_header import ACK, SYN
 from egrethook.upstreams.health import HealthObservation
@@ -159,3 +159,32 @@
     harness.advance(0.3)
     harness.dispatcher.refuse_queued(0.3)
     assert reset_callers(harness) == []
+
+
+@pytest.mark.parametrize("opened_here", [True, False])
+def test_new_opening_on_a_known_port_is_placed_anew(opened_here):
+    """Its earlier flow ended unseen here, at an upstream that drains by now."""
+    harness = DispatcherHarness()
+    harness.now = -5.0
+    harness.advance(0.0)
+    if opened_here:
+        assert harness.open(2000, 0.0) == "a"
+    else:
+        flow_request(harness, 2000, "a", 0.0)
+        harness.sent()
+    harness.put_upstream("a", phase=UpstreamPhase.DRAINING)
+    harness.advance(6.0)
+    harness.dispatcher.handle(packet(2000, SYN, sequence=70_000), 6.0)
+    assert harness.sent() == ["b"]
+    assert harness.upstream("a").busy_flows == 0
+    assert harness.upstream("a").idle_flows == 0
+
+
+def test_copy_of_an_opening_is_no_new_one():
+    harness = DispatcherHarness()
+    harness.now = -5.0
+    harness.advance(0.0)
+    assert harness.open(2000, 0.0) == "a"
+    harness.dispatcher.handle(packet(2000, SYN, ack=1), 0.2)
+    assert harness.sent() == ["a"]
+    assert harness.dispatcher.known_flows == 1
