Keep the token of a removed upstream until its flows have ended

Callers' open flows could be sent to another upstream, which drops their packets: a newcomer whose 32-bit token is that of a removed upstream took it over at once, though flows of the removed one may go on (its record may only have lapsed). Cause: only current upstreams kept their tokens. Now the newcomer gets no flows until the token is free.

--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -114,6 +114,7 @@
             del self._gone[token]
             if self._by_token.get(token) is upstream:
                 del self._by_token[token]
+                self._pass_on_token(token)
 
     def _drop(self, upstream: Upstream, now: float) -> None:
         del self._by_name[upstream.name]
@@ -129,16 +130,23 @@
     def _claim_token(self, upstream: Upstream) -> None:
         """Assign a token; of several upstreams that share it, the lowest name gets it.
 
-        Without its token, an upstream gets no new flows.
+        One that was removed keeps it while its flows may be open. Without its token,
+        an upstream gets no new flows.
         """
         current = self._by_token.get(upstream.token)
-        if current is not None and current.gone_at is None:
-            if upstream.name > current.name:
+        if current is not None and current.name != upstream.name:
+            if current.gone_at is not None or upstream.name > current.name:
                 return
             self._remove_from_service(current)
         self._by_token[upstream.token] = upstream
         self._add_to_service(upstream)
 
+    def _pass_on_token(self, token: int) -> None:
+        """Assign a free token to the current upstreams that share it."""
+        for upstream in self.all():
+            if upstream.token == token:
+                self._claim_token(upstream)
+
     def _add_to_service(self, upstream: Upstream) -> None:
         """Add an upstream to its service if it holds its token."""
         if self._by_token.get(upstream.token) is upstream:
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -58,6 +58,32 @@
     assert index.get("a").accepts_flows
 
 
+def test_token_of_open_flows_goes_to_no_newcomer_before_they_have_ended(monkeypatch):
+    """Guards against packets of open flows that reach another upstream."""
+    monkeypatch.setattr("egrethook.upstreams.upstream.crc32", lambda text: 7)
+    index = UpstreamIndex(FLOW_LIFE_S)
+    removed = index.put(upstream_record("b", "zone-a"), 0.0)
+    index.remove("b", 1.0)
+    newcomer = index.put(upstream_record("a", "zone-a"), 2.0)
+    assert index.by_token[7] is removed
+    assert newcomer not in index.of_service(newcomer.service)
+    index.expire(0.9 + FLOW_LIFE_S)
+    assert index.by_token[7] is removed
+    index.expire(1.1 + FLOW_LIFE_S)
+    assert index.by_token[7] is newcomer
+    assert newcomer in index.of_service(newcomer.service)
+
+
+def test_record_that_returns_after_its_removal_has_its_token_at_once():
+    index = UpstreamIndex(FLOW_LIFE_S)
+    index.put(upstream_record("a", "zone-a"), 0.0)
+    index.remove("a", 1.0)
+    returned = index.put(upstream_record("a", "zone-a"), 2.0)
+    assert index.by_token[returned.token] is returned
+    index.expire(2.0 + FLOW_LIFE_S)
+    assert index.by_token[returned.token] is returned
+
+
 @pytest.mark.parametrize("seed", range(50))
 def test_no_order_of_events_raises_or_leaves_what_is_gone(seed):
     """Guards against further orders of puts, removals, answers and expiry."""
