Let a silent failure domain confirm one unanswered opening

One own opening to the flow's upstream is now proof enough while the whole domain is silent: three latest openings there unanswered, nothing heard of any of its upstreams since, and other domains heard. The silence of the others alone proves nothing about this upstream (tests/test_sound_flows.py).

--- a/egrethook/upstreams/gone_proof.py
+++ b/egrethook/upstreams/gone_proof.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from egrethook.upstreams.roster import EXPIRED_RECORD_GRACE_S
-from egrethook.upstreams.upstream import Upstream
+from egrethook.upstreams.upstream import SILENT_OPENING_MEMORY_S, Upstream
+
+MIN_SILENT_DOMAIN_OPENINGS = 3
+"""Unanswered openings that show together that a failure domain is silent."""
 
 MIN_RETRANSMISSIONS = 2
 """Retransmissions of the flow's own request from which it counts as unanswered."""
@@ -22,6 +25,7 @@
 
     RECORD_REMOVED = "record removed"
     OPENINGS_UNANSWERED = "openings unanswered"
+    DOMAIN_SILENT = "failure domain silent"
 
 
 class SilentRequest(NamedTuple):
@@ -41,17 +45,24 @@
 
 
 class Hearing(NamedTuple):
-    """What this balancer hears of any upstream.
+    """What this balancer hears of other upstreams.
 
     Parameters
     ----------
     last_heard_at : float
         When a caller last showed here that some upstream had answered, in seconds.
+    domain_heard_at : float
+        The same for the upstreams of the flow's failure domain.
+    domain_silent_openings : sequence of float
+        When the latest unanswered openings were sent to that failure domain, at most
+        `MIN_SILENT_DOMAIN_OPENINGS`, in seconds.
     now : float
         The current time, in seconds.
     """
 
     last_heard_at: float
+    domain_heard_at: float
+    domain_silent_openings: Sequence[float]
     now: float
 
 
@@ -95,9 +106,27 @@
     return hearing.last_heard_at > upstream.silent_openings[-1]
 
 
+def _domain_is_silent(
+    upstream: Upstream, request: SilentRequest, hearing: Hearing
+) -> bool:
+    """Return whether an unanswered opening is confirmed by the whole failure domain."""
+    sent_at = hearing.domain_silent_openings
+    if len(sent_at) < MIN_SILENT_DOMAIN_OPENINGS:
+        return False
+    if hearing.domain_heard_at >= min(sent_at[0], request.repeated_at[0]):
+        return False
+    is_recent = sent_at[0] >= request.sent_at - SILENT_OPENING_MEMORY_S
+    return (
+        is_recent
+        and hearing.last_heard_at > sent_at[-1]
+        and upstream.leaves_openings_unanswered(request.sent_at, count=1)
+    )
+
+
 _PROOFS: tuple[
     tuple[GoneProof, Callable[[Upstream, SilentRequest, Hearing], bool]], ...
 ] = (
     (GoneProof.RECORD_REMOVED, _record_is_removed),
     (GoneProof.OPENINGS_UNANSWERED, _openings_are_unanswered),
+    (GoneProof.DOMAIN_SILENT, _domain_is_silent),
 )
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import NamedTuple, Protocol
 from zlib import crc32
 
 from egrethook.logs import PartLog
 from egrethook.upstreams.gone_proof import (
+    MIN_SILENT_DOMAIN_OPENINGS,
     GoneProof,
     Hearing,
     SilentRequest,
@@ -101,6 +103,8 @@
         self._domain_unanswered_at: dict[str, float] = {}
         self._started_at = float("-inf")
         self._last_heard_at = float("-inf")
+        self._domain_heard_at: dict[str, float] = {}
+        self._domain_silent_openings: dict[str, deque[float]] = {}
         self._reach_evidence = ReachEvidence()
 
     @property
@@ -124,6 +128,9 @@
             return
         self._domain_unanswered_at[upstream.domain] = now
         upstream.silent_openings.append(sent_at)
+        self._domain_silent_openings.setdefault(
+            upstream.domain, deque(maxlen=MIN_SILENT_DOMAIN_OPENINGS)
+        ).append(sent_at)
         self._reach_evidence.note_unanswered(upstream.domain, sent_at, now)
         self._count_unanswered(upstream, now - sent_at, now, from_peer=False)
         # Without recent answers from this domain, the fault may be on this side, so
@@ -149,6 +156,7 @@
 
     def _note_sign_of_life(self, upstream: Upstream, now: float) -> None:
         upstream.alive_at = self._last_heard_at = now
+        self._domain_heard_at[upstream.domain] = now
         upstream.silent_openings.clear()
         self._reach_evidence.note_answer(upstream.domain, now)
 
@@ -180,7 +188,14 @@
         """
         if now - self._started_at < SETTLING_S:
             return None
-        return find_proof(upstream, request, Hearing(self._last_heard_at, now))
+        domain = upstream.domain
+        hearing = Hearing(
+            self._last_heard_at,
+            self._domain_heard_at.get(domain, float("-inf")),
+            self._domain_silent_openings.get(domain, ()),
+            now,
+        )
+        return find_proof(upstream, request, hearing)
 
     def domain_silent_since(self, domain: str) -> float | None:
         """Return since when a failure domain leaves openings unanswered, if it does.
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -205,18 +205,22 @@
             and not self.leaves_openings_unanswered(now)
         )
 
-    def leaves_openings_unanswered(self, since: float) -> bool:
-        """Return whether the latest openings from here show that it is silent.
+    def leaves_openings_unanswered(
+        self, since: float, count: int = MIN_SILENT_OPENINGS
+    ) -> bool:
+        """Return whether the latest openings from here went unanswered.
 
         Parameters
         ----------
         since : float
             When what they are weighed with began, in seconds.
+        count : int
+            How many of them, at most `MIN_SILENT_OPENINGS`.
         """
         sent_at = self.silent_openings
-        if len(sent_at) < MIN_SILENT_OPENINGS:
+        if len(sent_at) < count:
             return False
-        return sent_at[0] >= max(self.alive_at, since - SILENT_OPENING_MEMORY_S)
+        return sent_at[-count] >= max(self.alive_at, since - SILENT_OPENING_MEMORY_S)
 
     def note_service_time(self, seconds: float) -> None:
         """Add the time from a request to its answer to the moving average."""
--- a/tests/test_sound_flows.py
+++ b/tests/test_sound_flows.py
@@ -12,6 +12,7 @@
     flow_answered,
     flow_request,
     harness_with_open_flows,
+    hear_of_another_upstream,
     leave_openings_unanswered,
 )
 
@@ -188,3 +189,44 @@
     harness.dispatcher.handle(packet(2000, SYN, ack=1), 0.2)
     assert harness.sent() == ["a"]
     assert harness.dispatcher.known_flows == 1
+
+
+def silence_of(harness, names, now):
+    """One opening to each of some upstreams goes unanswered."""
+    for name in names:
+        harness.health.note_unanswered_opening(harness.upstream(name), now, now + 0.05)
+
+
+def two_upstreams_of_a_domain():
+    """Upstreams "a" and "c" of one failure domain, and "b" of another one."""
+    harness = harness_with_open_flows()
+    harness.put_upstream("b")
+    record = upstream_record("c", "zone-a")
+    harness.put(ItemKind.UPSTREAM, "c", record)
+    return harness
+
+
+@pytest.mark.parametrize(
+    ("silent", "resets"), [(("c", "c", "c"), []), (("c", "a", "c"), [2000])]
+)
+def test_silent_domain_only_confirms_an_unanswered_opening(silent, resets):
+    """The silence of others alone says nothing about the flow's own upstream."""
+    harness = two_upstreams_of_a_domain()
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    silence_of(harness, silent, 1.05)
+    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
+    hear_of_another_upstream(harness, 1.3)
+    flow_request(harness, 2000, "a", 1.6, sequence=11, ack=100)
+    assert reset_callers(harness) == resets
+
+
+def test_domain_that_is_heard_confirms_no_silence():
+    harness = two_upstreams_of_a_domain()
+    flow_request(harness, 2000, "a", 1.0, sequence=11, ack=100)
+    silence_of(harness, ("c", "a", "c"), 1.05)
+    flow_request(harness, 2000, "a", 1.2, sequence=11, ack=100)
+    flow_request(harness, 2005, "c", 1.25)
+    flow_answered(harness, 2005, "c", 1.3, ack=100)
+    hear_of_another_upstream(harness, 1.35)
+    flow_request(harness, 2000, "a", 1.6, sequence=11, ack=100)
+    assert reset_callers(harness) == []
