Follow requests on open flows in a module of their own

What answers and silence of requests show moves to callers/request_tracker.py; behaviour is the same (260 tests of the dispatcher, the open flows and the simulated worlds pass).

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -14,9 +14,9 @@
     ForwardedFlow,
 )
 from egrethook.callers.held_packets import HeldPackets, ReceivedPacket
-from egrethook.callers.interruptions import Interruptions
 from egrethook.callers.opening_queues import OpeningQueues
 from egrethook.callers.queueing_policy import QueueingPolicy
+from egrethook.callers.request_tracker import RequestTracker
 from egrethook.callers.segments import IPv4Endpoint, PacketPort, Segment, SegmentCodec
 from egrethook.discovery.view import ForwardingView, pick_service
 from egrethook.logs import PartLog
@@ -52,12 +52,6 @@
 }
 """Time without packets after which a flow is removed, by state, in seconds."""
 
-MAX_UNNOTICED_GAP_S = 0.3
-"""Time between two ticks above which silence proves nothing, in seconds.
-
-An idle process ticks at every housekeeping, five times a second.
-"""
-
 MAX_TICK_INTERVAL_S = 0.5
 """Time between two ticks above which the process was interrupted, in seconds."""
 
@@ -114,15 +108,15 @@
         queueing: QueueingPolicy | None = None,
     ) -> None:
         self._view = view
-        self._stall_listeners = stall_listeners
-        self._listeners = listeners
         self._codec = codec
         self._selector = selector
-        self._limit = limit
         self._health = health
         self._flows: dict[bytes, ForwardedFlow] = {}
         self._resend_due_at: OrderedDict[bytes, float] = OrderedDict()
         self._counts = counts or DispatcherCounts()
+        self._requests = RequestTracker(
+            limit, health, listeners, stall_listeners, self._counts
+        )
         self._output = FlowOutput(codec, port, self._counts)
         self._queues = OpeningQueues(
             view,
@@ -138,8 +132,6 @@
         self._answer_times = AnswerTimes()
         self._last_expiry_at = 0.0
         self._ticked_at = float("-inf")
-        self._interruptions = Interruptions()
-        self._long_interruptions = Interruptions(MAX_UNNOTICED_GAP_S)
         self._view_is_fresh = False
 
     @property
@@ -196,8 +188,7 @@
             # The process was paused, or got no processor time.
             self._health.note_interruption(now)
         self._ticked_at = now
-        self._interruptions.note_tick(now)
-        self._long_interruptions.note_tick(now)
+        self._requests.note_tick(now)
         resend_due_at = self._resend_due_at
         while resend_due_at:
             flow_key, due = next(iter(resend_due_at.items()))
@@ -432,7 +423,9 @@
         is_repeated = False
         if flow.state is FlowState.OPEN:
             flow.segment = segment
-            is_repeated = self._track_requests(flow, segment, now)
+            is_repeated = self._requests.track(flow, segment, now)
+            if not flow.is_busy:
+                self._queues.serve(flow.service, now)
         elif flow.state is FlowState.SENT and upstream in flow.tried:
             self._mark_open(flow, segment, upstream, now)
         if segment.closes or segment.aborts:
@@ -452,42 +445,6 @@
         self._counts.answer_times.observe(answer_s)
         flow.open_at(upstream, segment, now)
 
-    def _track_requests(
-        self, flow: ForwardedFlow, segment: Segment, now: float
-    ) -> bool:
-        """Detect requests and their answers; the flow is busy in between.
-
-        Returns
-        -------
-        bool
-            Whether the packet repeats a request that is unanswered.
-        """
-        if flow.is_answered_by(segment):
-            service_s = now - flow.sent_at
-            upstream = flow.tried[0]
-            upstream.note_service_time(service_s)
-            self._limit.note_answer(upstream, service_s, flow.route.objective_s, now)
-            self._counts.request_times.observe(service_s)
-            is_held_up = self._interruptions.fall_into(flow.sent_at, now)
-            outcome = flow.outcome(segment, service_s, is_held_up)
-            self._health.note_progress(upstream, now)
-            for listener in self._listeners:
-                listener.request_answered(outcome, now)
-            flow.record_answer(segment)
-        is_repeated = flow.is_retransmission(segment, now)
-        if flow.is_new_data(segment):
-            flow.record_request(segment, now)
-        elif is_repeated:
-            flow.note_retransmission(now)
-            self._health.note_stalled_request(flow.tried[0], flow.sent_at, now)
-            for stall_listener in self._stall_listeners:
-                stall_listener.request_stalled(
-                    flow.tried[0], flow.route, flow.sent_at, now
-                )
-        if not flow.is_busy:
-            self._queues.serve(flow.service, now)
-        return is_repeated
-
     def _reset_if_gone(self, flow: ForwardedFlow, now: float) -> bool:
         """Reset an open flow whose upstream is gone, so that its caller opens another.
 
@@ -496,24 +453,16 @@
         """
         if not flow.route.idempotent:
             return False
-        if self._long_interruptions.fall_into(flow.sent_at, now):
-            return False
-        upstream, request = flow.tried[0], flow.silent_request
-        proof = self._health.gone_proof(upstream, request, now)
+        proof = self._requests.gone_proof(flow, now)
         if proof is None:
             return False
         self._remove_flow(flow)
         self._output.abort(
             flow.segment,
             "upstream gone",
-            upstream=upstream.name,
             proof=proof.value,
-            silent_ms=round((now - request.sent_at) * 1000),
-            repeated_ms=_milliseconds_since(request.repeated_at[0], now),
-            silent_openings=len(upstream.silent_openings),
-            since_sign_of_life_ms=_milliseconds_since(upstream.alive_at, now),
-            longest_gap_ms=round(self._interruptions.longest_gap_s * 1000),
             revision=self._view.revision,
+            **self._requests.silence(flow, now),
         )
         return True
 
@@ -536,8 +485,3 @@
                 self._remove_flow(flow)
             elif flow.state is FlowState.OPEN and idle_s > REQUEST_IDLE_TIMEOUT_S:
                 flow.mark_idle()
-
-
-def _milliseconds_since(time: float, now: float) -> int | None:
-    """Return the time since an event in milliseconds, or None if there was none."""
-    return round((now - time) * 1000) if time > float("-inf") else None
