End no open flow on silence alone: the registry or a cut must explain it

Two of this VM's own unanswered openings are no proof: an upstream that is full is silent on openings and serves its flows; callers move between opening and answer; three tries of one opening are one piece of evidence. No silence on openings tells a full upstream from a dead one, so it no longer ends a flow.

What ends one, beside its own twice repeated request: its record was removed over 2.2 s ago and it has answered nothing since; or its whole failure domain is cut off from this VM, by gossip (1 s without any) as well as by openings of three different flows, while other upstreams are heard. A pause of the process drops what was collected. A record that lapsed counts as removed from the beginning of its grace.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -163,6 +163,10 @@
     def view_is_fresh(self, fresh: bool) -> None:
         self._view_is_fresh = fresh
 
+    def expect_queued_packets(self) -> None:
+        """Record that packets have queued before the first tick, as during a start."""
+        self._requests.expect_queued_packets()
+
     def handle(self, datagram: bytes, now: float) -> None:
         """Handle one packet from a caller."""
         segment = self._codec.decode(datagram)
@@ -224,6 +228,7 @@
         self._counts.openings += 1
         service = pick_service(route, segment.flow)
         flow = ForwardedFlow(segment, datagram, route, service, arrived_at)
+        flow.note_opening(self._requests.is_catching_up(now))
         self._avoid_silent_upstreams(flow, now)
         self._queues.send_or_add(flow, now)
 
@@ -278,8 +283,8 @@
         the last one if no other has capacity. Copies that were queued together, as
         during a start, leave the first one its time to be answered.
         """
+        flow.note_copy(segment)
         if flow.state is FlowState.WAITING:
-            flow.note_copy(segment)
             return
         if flow.state is FlowState.OPEN:
             self._output.forward(flow.tried[-1], datagram)
@@ -329,10 +334,11 @@
         silent = flow.tried[-1]
         # An unanswered opening occupies no capacity at its upstream.
         flow.release()
-        if flow.may_be_open_elsewhere:
+        if flow.may_be_open_elsewhere(now):
             return
         if flow.sent_at + CALLER_TIMEOUT_MARGIN_S < flow.caller_timeout_at:
-            self._health.note_unanswered_opening(silent, flow.sent_at, now)
+            first_try = len(flow.tried) == 1
+            self._health.note_unanswered_opening(silent, flow.sent_at, now, first_try)
         if len(flow.tried) >= MAX_UPSTREAMS_PER_OPENING or now > flow.caller_timeout_at:
             return
         if self._send_opening(flow, now):
@@ -356,7 +362,7 @@
             flow = self._track_flow_opened_elsewhere(segment, upstream, now)
         if flow is not None and upstream is not None:
             self._follow_token(flow, segment, upstream, now)
-        if flow is not None:
+        if flow is not None and (upstream is not None or segment.ends):
             is_repeated = self._update_flow(flow, segment, upstream, now)
             if is_repeated and self._reset_if_gone(flow, now):
                 return
@@ -397,13 +403,13 @@
 
         It may have been opened there through another balancer.
         """
-        if flow.state is FlowState.WAITING or upstream in flow.tried:
+        if upstream in flow.tried:
+            return
+        if flow.state is FlowState.OPEN and flow.tried[0].token == upstream.token:
+            flow.replace_upstream(upstream)
             return
         self._resend_due_at.pop(flow.segment.flow, None)
-        flow.segment = segment
-        flow.open_at(upstream, segment, now)
-        if not segment.length:
-            flow.mark_idle()
+        flow.follow(upstream, segment, now)
 
     def _update_flow(
         self,
@@ -428,7 +434,7 @@
                 self._queues.serve(flow.service, now)
         elif flow.state is FlowState.SENT and upstream in flow.tried:
             self._mark_open(flow, segment, upstream, now)
-        if segment.closes or segment.aborts:
+        if segment.ends:
             self._remove_flow(flow)
             self._queues.serve(flow.service, now)
             return False
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -13,7 +13,7 @@
 from egrethook.discovery.records import Route
 from egrethook.histogram import LatencyHistogram
 from egrethook.label_counts import LabelCounts
-from egrethook.upstreams.gone_proof import MIN_RETRANSMISSIONS, SilentRequest
+from egrethook.upstreams.gone_proof import MIN_REPETITIONS, SilentRequest
 from egrethook.upstreams.requests import RequestOutcome
 from egrethook.upstreams.upstream import Upstream
 
@@ -26,8 +26,8 @@
 OPENING_SEND_OFFSETS_S = (0.0, 0.2, 0.6)
 """When a caller sends an opening and its retransmissions, in seconds."""
 
-REFUSAL_MARGIN_S = 0.1
-"""Time for which a packet may have been under way or queued here, in seconds."""
+COPY_DELAY_S = 0.05
+"""Time by which a copy of an opening may come late, in seconds."""
 
 _ALL_COPIES = (1 << len(OPENING_SEND_OFFSETS_S)) - 1
 """Bit mask of the copies of an opening."""
@@ -56,7 +56,8 @@
     upstream once it is open; `avoided` holds those that left an earlier opening of the
     same caller unanswered. `sent_at` is when the opening, or the latest request of an
     open flow, was sent. `segment` is the opening, and the caller's latest packet once
-    the flow is open. `has_guaranteed_room` gives a late opening the room of one that
+    the flow is open. `handled_late` says that the opening had queued here and is older
+    than it seems. `has_guaranteed_room` gives a late opening the room of one that
     is on time.
 
     A flow is busy while it opens, and from each request until the caller has
@@ -75,6 +76,7 @@
     tried: list[Upstream] = []
     avoided: list[Upstream] = []
     has_guaranteed_room: bool = False
+    handled_late: bool = False
     _copies_seen: int = 0
     _upstream: Upstream | None = None
     _busy: bool = False
@@ -85,9 +87,17 @@
     _found_busy: int = 0
     _opening_sequence: int | None = None
 
-    def __post_init__(self) -> None:
-        if self.segment.opens:
-            self._opening_sequence = self.segment.sequence
+    def note_opening(self, handled_late: bool) -> None:
+        """Record that the flow begins with an opening that came here.
+
+        Parameters
+        ----------
+        handled_late : bool
+            Whether it had queued here, so that it is older than it seems.
+        """
+        self._opening_sequence = self.segment.sequence
+        self.handled_late = handled_late
+        self.note_copy(self.segment)
 
     def is_replaced_by(self, opening: Segment, now: float) -> bool:
         """Return whether an opening begins another flow on the port of an open one.
@@ -121,22 +131,22 @@
         """Whether all copies of the opening came here, and to no other balancer."""
         return self._copies_seen == _ALL_COPIES
 
-    @property
-    def may_be_open_elsewhere(self) -> bool:
-        """Whether an earlier copy of the opening went to another balancer."""
-        return _copy_index(self.segment) > 0
-
-    def is_refused_safely(self, now: float) -> bool:
-        """Return whether no copy of the opening can have gone to another balancer.
+    def may_be_open_elsewhere(
+        self, now: float, margin_s: float = -COPY_DELAY_S
+    ) -> bool:
+        """Return whether a copy of the opening may have gone to another balancer.
 
-        A copy that is just due counts as sent.
+        Parameters
+        ----------
+        margin_s : float
+            Time by which a copy counts as sent before it is due, in seconds.
         """
-        elapsed_s = now - self.first_sent_at + REFUSAL_MARGIN_S
-        sent = [elapsed_s >= offset_s for offset_s in OPENING_SEND_OFFSETS_S]
-        return all(
-            self._copies_seen >> copy & 1
-            for copy, is_sent in enumerate(sent)
-            if is_sent
+        if self.handled_late:
+            return True
+        elapsed_s = now - self.first_sent_at + margin_s
+        return any(
+            elapsed_s >= offset_s and not self._copies_seen >> copy & 1
+            for copy, offset_s in enumerate(OPENING_SEND_OFFSETS_S)
         )
 
     def note_copy(self, segment: Segment) -> None:
@@ -213,6 +223,24 @@
         self._acknowledged = segment.acknowledged
         self._found_busy = upstream.busy_flows - 1
 
+    def follow(self, upstream: Upstream, segment: Segment, now: float) -> None:
+        """Count at the upstream where the flow was opened through another balancer."""
+        self._opening_sequence = None
+        self.arrived_at = now
+        self.service = upstream.service
+        self.segment = segment
+        self.open_at(upstream, segment, now)
+        if not segment.length:
+            self.mark_idle()
+
+    def replace_upstream(self, upstream: Upstream) -> None:
+        """Count at the same upstream, whose record has returned."""
+        was_busy = self._busy
+        self.occupy(upstream)
+        if not was_busy:
+            self.mark_idle()
+        self.tried = [upstream]
+
     def is_answered_by(self, segment: Segment) -> bool:
         """Return whether a packet shows that an answer has begun to arrive."""
         return self._busy and is_after(segment.acknowledged, self._acknowledged)
@@ -266,7 +294,7 @@
         """
         latest = self._repeated_at[-1:]
         if not latest or now - latest[0] >= MIN_RETRANSMISSION_TIMEOUT_S:
-            self._repeated_at = (*latest, now)[-MIN_RETRANSMISSIONS:]
+            self._repeated_at = (*latest, now)[-MIN_REPETITIONS:]
 
     def record_request(self, segment: Segment, now: float) -> None:
         """Record the data of a new request, or more data of the current one."""
--- a/egrethook/callers/interruptions.py
+++ b/egrethook/callers/interruptions.py
@@ -22,6 +22,7 @@
         self._max_gap_s = max_gap_s
         self._ticked_at = float("-inf")
         self._ended_at = float("-inf")
+        self._starts = False
         self._longest_gap_s = 0.0
         self._longest_gap_at = float("-inf")
 
@@ -39,6 +40,16 @@
             self._note_gap(gap_s, now)
         self._ticked_at = now
 
+    def expect_queued_packets(self) -> None:
+        """Record that packets have queued before the first tick, as during a start."""
+        self._starts = True
+
+    def is_catching_up(self, now: float) -> bool:
+        """Return whether what is handled now queued while the process stood still."""
+        if self._ticked_at == float("-inf"):
+            return self._starts
+        return now - self._ticked_at > self._max_gap_s
+
     def _note_gap(self, gap_s: float, now: float) -> None:
         has_aged = now - self._longest_gap_at > GAP_MEMORY_S
         if has_aged or gap_s >= self._longest_gap_s:
--- a/egrethook/callers/opening_queues.py
+++ b/egrethook/callers/opening_queues.py
@@ -21,6 +21,10 @@
 _LOG = PartLog("flows")
 
 
+REFUSAL_MARGIN_S = 0.1
+"""Time for which a packet may have been under way or queued here, in seconds."""
+
+
 class QueueState(NamedTuple):
     """The queue of a service, as a new opening meets it.
 
@@ -113,11 +117,13 @@
         opening = self._policy.describe(flow, queue, now)
         wait_s = queue.expected_wait_s(self._answers_per_s(flow.service, now), opening)
         if now + wait_s + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
+            if flow.may_be_open_elsewhere(now):
+                self._output.drop("too many wait, maybe open elsewhere")
+                return
             self._refuse(flow, "too many wait", queue, wait_s, now)
             return
         self._counts.waited += 1
         flow.last_active_at = now
-        flow.note_copy(flow.segment)
         self._flows[flow.segment.flow] = flow
         queue.push(opening)
         self._policy.note_queued(flow, queue, now)
@@ -157,11 +163,11 @@
         for flow in list(self._flows.values()):
             if flow.state is not FlowState.WAITING:
                 continue
-            if flow.is_refused_safely(now):
-                del self._flows[flow.segment.flow]
-                self._output.reset(flow.segment, "process leaving")
-            else:
+            if flow.may_be_open_elsewhere(now, REFUSAL_MARGIN_S):
                 self._drop(flow, 0, now)
+                continue
+            del self._flows[flow.segment.flow]
+            self._output.reset(flow.segment, "process leaving")
 
     def _refuse_hopeless(self, queue: OpeningQueue, now: float) -> None:
         """Refuse what can't be served in time; drop it if its caller has given up.
--- a/egrethook/callers/request_tracker.py
+++ b/egrethook/callers/request_tracker.py
@@ -17,9 +17,10 @@
 from egrethook.upstreams.requests import RequestListener, StallListener
 
 MAX_UNNOTICED_GAP_S = 0.3
-"""Time between two ticks above which silence proves nothing, in seconds.
+"""Time between two ticks above which silence ends no flow, in seconds.
 
-An idle process ticks at every housekeeping, five times a second.
+Above the 0.2 s between two ticks of an idle process. Shorter gaps already spoil the
+measured service times, longer ones the view of what is silent at all.
 """
 
 
@@ -61,6 +62,14 @@
         self._interruptions.note_tick(now)
         self._long_interruptions.note_tick(now)
 
+    def expect_queued_packets(self) -> None:
+        """Record that packets have queued before the first tick, as during a start."""
+        self._long_interruptions.expect_queued_packets()
+
+    def is_catching_up(self, now: float) -> bool:
+        """Return whether packets handled now have queued here for long."""
+        return self._long_interruptions.is_catching_up(now)
+
     def track(self, flow: ForwardedFlow, segment: Segment, now: float) -> bool:
         """Detect requests and their answers; the flow is busy in between.
 
@@ -114,7 +123,6 @@
             "upstream": upstream.name,
             "silent_ms": round((now - request.sent_at) * 1000),
             "repeated_ms": round((now - request.repeated_at[0]) * 1000),
-            "silent_openings": len(upstream.silent_openings),
             "since_sign_of_life_ms": _milliseconds_since(upstream.alive_at, now),
             "longest_gap_ms": round(self._interruptions.longest_gap_s * 1000),
         }
--- a/egrethook/callers/segments.py
+++ b/egrethook/callers/segments.py
@@ -46,6 +46,11 @@
     acknowledged: int
     length: int
 
+    @property
+    def ends(self) -> bool:
+        """Whether the packet ends its flow, normally or not."""
+        return self.closes or self.aborts
+
     @property
     def end(self) -> int:
         """The sequence number after the last byte."""
--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -187,6 +187,7 @@
         self.upstreams_of_reset_flows: list[str] = []
         self._calls_by_port: dict[int, Call] = {}
         self._redirects: dict[int, int] = {}
+        self._cut_at: dict[frozenset[str], float] = {}
         self._vm_numbers = itertools.count()
         self.vms = [self._new_vm(domain) for domain in domains]
         for vm in self.vms:
@@ -223,6 +224,7 @@
             cost_aware=data_path.cost_aware,
             data_path=data_path,
         )
+        health.set_gossip_age(partial(self._gossip_age, domain))
         if self._shares_health:
             health.set_listener(partial(self._share_health, vm))
             if outliers is not None:
@@ -299,6 +301,7 @@
     def _tick(self, vm: SimulatedVm) -> None:
         if vm.up and not vm.paused:
             vm.dispatcher.tick(self.now)
+            vm.view.upstreams.expire(self.now)
         self.after(TICK_INTERVAL_S, lambda: self._tick(vm))
 
     def pause(self, vm: SimulatedVm, duration_s: float) -> None:
@@ -306,6 +309,15 @@
         vm.paused = True
         self.after(duration_s, partial(self._resume, vm))
 
+    def cut(self, domain: str, other: str) -> None:
+        """Let no packet and no gossip pass between two failure domains any more."""
+        self._cut_at[frozenset((domain, other))] = self.now
+
+    def _gossip_age(self, domain: str, other: str) -> float:
+        """Return the time since a domain's balancers heard of another domain's."""
+        cut_at = self._cut_at.get(frozenset((domain, other)), self.now)
+        return self.now - cut_at
+
     def redirect(self, vm: int, other: int, duration_s: float) -> None:
         """Hand the packets of a balancer's callers to another one for a while."""
         self._redirects[vm] = other
@@ -479,7 +491,9 @@
 
     def passes(self, vm: int, upstream: str) -> bool:
         """Return whether packets of a balancer reach an upstream; see subclasses."""
-        return True
+        record = self.upstreams[upstream].record
+        domains = frozenset((self.vms[vm].domain, record.failure_domain))
+        return domains not in self._cut_at
 
     def packet_to_upstream(self, domain: str, name: str, packet: bytes) -> None:
         """Deliver a packet from a balancer to an upstream after the link delay."""
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -25,7 +25,7 @@
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
 from egrethook.upstreams.flow_limit import AimdFlowLimit
-from egrethook.upstreams.health import HealthListener, HealthObservation
+from egrethook.upstreams.health import GossipAge, HealthListener, HealthObservation
 from egrethook.upstreams.reach_evidence import ReachEvidence
 from egrethook.upstreams.reachability import HeardDomains, Reachability
 
@@ -145,6 +145,7 @@
         )
         self._health = data_path.health
         self._dispatcher = data_path.dispatcher
+        self._dispatcher.expect_queued_packets()
         self._new_explainer = data_path.new_explainer
         self._outliers = data_path.outliers
         self._cost_aware = data_path.cost_aware
@@ -290,6 +291,10 @@
         """Set what returns the failure domains whose balancers are heard."""
         self._heard_domains = heard_domains
 
+    def set_gossip_age(self, gossip_age: GossipAge) -> None:
+        """Set what tells how long ago gossip came from a failure domain."""
+        self._health.set_gossip_age(gossip_age)
+
     def set_departure(self, departure: DepartureDecision) -> None:
         """Set the decision whether the whole failure domain leaves the rotation."""
         self._departure = departure
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -118,6 +118,7 @@
             self._connect_outliers(forwarder.outliers)
         forwarder.set_cold_sender_check(self._is_cold_sender)
         forwarder.set_heard_domains(self._heard_domains)
+        forwarder.set_gossip_age(self._gossip_age)
         self._departure = self._new_departure()
         forwarder.set_live_balancers(self._live_balancers)
         self._follower = RegistryFollower(
@@ -252,6 +253,11 @@
         now = self._clock.now()
         return HeardDomains(members.live_domains(now), members.known_domains(now))
 
+    def _gossip_age(self, domain: str) -> float | None:
+        """Return the time since gossip came from a failure domain, if any ever did."""
+        age_s = self._members.contact_age(domain, self._clock.now())
+        return None if age_s == float("inf") else age_s
+
     def _live_balancers(self) -> int:
         """Return the number of live balancers, or 0 before any other is heard."""
         others = len(self._members.live(self._clock.now()))
--- a/egrethook/upstreams/explanation.py
+++ b/egrethook/upstreams/explanation.py
@@ -217,7 +217,7 @@
         reasons = {one: self._obstacle(one, opening) for one in pool}
         costs = dict(zip(pool, self._costs.of(pool, opening), strict=True))
         available = [one for one in pool if reasons[one] is Reason.HIGHER_COST]
-        pick = self._first_pick(candidates, compared, opening)
+        pick = self._first_pick(candidates, not_ejected, opening)
         hold = None
         if self._slow_start and self._slow_start.holds_back(candidates, now):
             pick, hold = None, Hold.SLOW_START
@@ -260,7 +260,7 @@
     def _first_pick(
         self,
         candidates: Sequence[Upstream],
-        usable: Sequence[Upstream],
+        not_ejected: Sequence[Upstream],
         opening: Opening,
     ) -> _Pick | None:
         """Return what is chosen before costs are compared, if anything is."""
@@ -269,7 +269,7 @@
             trial = self._outliers.next_trial(candidates, opening)
             if trial is not None:
                 return _Pick(trial, Reason.TRIAL)
-        for upstream in usable:
+        for upstream in not_ejected:
             if upstream.needs_check(now) and self._cold_admission.would_admit(
                 upstream, now
             ):
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -7,14 +7,15 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 from zlib import crc32
 
 from egrethook.logs import PartLog
 from egrethook.upstreams.gone_proof import (
-    MIN_SILENT_DOMAIN_OPENINGS,
+    MIN_SILENT_OPENINGS,
+    DomainContact,
     GoneProof,
-    Hearing,
     SilentRequest,
     find_proof,
 )
@@ -82,6 +83,18 @@
         ...
 
 
+GossipAge = Callable[[str], float | None]
+"""Returns the time since gossip came from a failure domain, in seconds.
+
+It is None if none ever came.
+"""
+
+
+def _no_gossip(domain: str) -> float | None:
+    """Return None: before other balancers are met, nothing is known of any domain."""
+    return None
+
+
 class PassiveHealth:
     """Ejects upstreams that leave openings unanswered.
 
@@ -104,7 +117,8 @@
         self._started_at = float("-inf")
         self._last_heard_at = float("-inf")
         self._domain_heard_at: dict[str, float] = {}
-        self._domain_silent_openings: dict[str, deque[float]] = {}
+        self._silent_openings: dict[str, deque[float]] = {}
+        self._gossip_age: GossipAge = _no_gossip
         self._reach_evidence = ReachEvidence()
 
     @property
@@ -116,21 +130,31 @@
         """Set the receiver of this balancer's observations."""
         self._listener = listener
 
+    def set_gossip_age(self, gossip_age: GossipAge) -> None:
+        """Set what tells how long ago gossip came from a failure domain."""
+        self._gossip_age = gossip_age
+
     def note_unanswered_opening(
-        self, upstream: Upstream, sent_at: float, now: float
+        self, upstream: Upstream, sent_at: float, now: float, first_try: bool = True
     ) -> None:
         """Count an opening that was not answered in time.
 
         It does not count if the upstream has answered another opening since: then
         the caller is gone, not the upstream.
+
+        Parameters
+        ----------
+        first_try : bool
+            Whether it was the first upstream that got the opening. If its caller has
+            gone, all tries are unanswered for this one reason.
         """
         if upstream.answered_at > sent_at:
             return
         self._domain_unanswered_at[upstream.domain] = now
-        upstream.silent_openings.append(sent_at)
-        self._domain_silent_openings.setdefault(
-            upstream.domain, deque(maxlen=MIN_SILENT_DOMAIN_OPENINGS)
-        ).append(sent_at)
+        if first_try:
+            self._silent_openings.setdefault(
+                upstream.domain, deque(maxlen=MIN_SILENT_OPENINGS)
+            ).append(sent_at)
         self._reach_evidence.note_unanswered(upstream.domain, sent_at, now)
         self._count_unanswered(upstream, now - sent_at, now, from_peer=False)
         # Without recent answers from this domain, the fault may be on this side, so
@@ -157,7 +181,6 @@
     def _note_sign_of_life(self, upstream: Upstream, now: float) -> None:
         upstream.alive_at = self._last_heard_at = now
         self._domain_heard_at[upstream.domain] = now
-        upstream.silent_openings.clear()
         self._reach_evidence.note_answer(upstream.domain, now)
 
     def note_stalled_request(
@@ -177,6 +200,7 @@
     def note_interruption(self, now: float) -> None:
         """Start afresh: this process has started or been paused."""
         self._started_at = now
+        self._silent_openings.clear()
         self._reach_evidence.forget_unanswered()
 
     def gone_proof(
@@ -189,13 +213,13 @@
         if now - self._started_at < SETTLING_S:
             return None
         domain = upstream.domain
-        hearing = Hearing(
-            self._last_heard_at,
+        contact = DomainContact(
+            self._gossip_age(domain),
             self._domain_heard_at.get(domain, float("-inf")),
-            self._domain_silent_openings.get(domain, ()),
-            now,
+            self._last_heard_at,
+            self._silent_openings.get(domain, ()),
         )
-        return find_proof(upstream, request, hearing)
+        return find_proof(upstream, request, contact, now)
 
     def domain_silent_since(self, domain: str) -> float | None:
         """Return since when a failure domain leaves openings unanswered, if it does.
@@ -221,10 +245,9 @@
         self, upstream: Upstream, silent_s: float, now: float, from_peer: bool
     ) -> None:
         if now - upstream.last_unanswered_at > UNANSWERED_MEMORY_S:
-            upstream.unanswered = upstream.unanswered_by_peers = 0
+            upstream.unanswered = 0
         upstream.last_unanswered_at = now
         upstream.unanswered += 1
-        upstream.unanswered_by_peers += from_peer
         excess = upstream.unanswered - self._ejection_threshold(upstream, now)
         if excess < 0:
             return
@@ -263,7 +286,7 @@
                 upstream=upstream.name,
                 from_peer=from_peer,
             )
-        upstream.unanswered = upstream.unanswered_by_peers = 0
+        upstream.unanswered = 0
         upstream.ejected = False
         upstream.ejected_until = now
         upstream.stalled_since = None
--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -106,7 +106,7 @@
         """Drop upstreams whose grace period is over, and tokens after `flow_life_s`."""
         for name, until in list(self._grace_ends_at.items()):
             if now >= until:
-                self._drop(self._by_name[name], now)
+                self._drop(self._by_name[name], until - EXPIRED_RECORD_GRACE_S)
         for token, upstream in list(self._gone.items()):
             gone_at = upstream.gone_at
             if gone_at is None or now - gone_at < self._flow_life_s:
--- a/egrethook/upstreams/selection.py
+++ b/egrethook/upstreams/selection.py
@@ -205,7 +205,7 @@
         not_ejected = [upstream for upstream in usable if not upstream.is_ejected(now)]
         # If all are ejected, ejection is ignored.
         pool = not_ejected or usable
-        if not tried and (unchecked := self._first_unchecked(usable, now)):
+        if not tried and (unchecked := self._first_unchecked(not_ejected, now)):
             return unchecked
         available = [
             upstream
@@ -221,7 +221,7 @@
     def _first_unchecked(
         self, upstreams: Iterable[Upstream], now: float
     ) -> Upstream | None:
-        """Return an upstream that may be gone, whatever its load; it may be ejected.
+        """Return an upstream that may be gone, whatever its load.
 
         An opening shows it: a live one answers at once, and from another one it soon
         moves on.
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 from zlib import crc32
@@ -15,15 +14,6 @@
 CHECK_INTERVAL_S = 0.15
 """Time between two such openings, in seconds."""
 
-CHECK_WITHIN_S = 1.0
-"""Time after the latest retransmission in which such openings are due, in seconds."""
-
-SILENT_OPENING_MEMORY_S = 2.0
-"""Time before a request from which unanswered openings count with it, in seconds."""
-
-MIN_SILENT_OPENINGS = 2
-"""Unanswered openings of this balancer that show together that an upstream is gone."""
-
 SERVICE_TIME_EWMA_WEIGHT = 0.2
 """Weight of the newest request in the moving average of service times."""
 
@@ -82,10 +72,6 @@
         first adjusted.
     unanswered : int
         Number of consecutive unanswered openings.
-    unanswered_by_peers : int
-        How many of them other balancers have reported.
-    silent_openings : deque of float
-        When this balancer sent its latest unanswered openings, in seconds.
     ejected : bool
         Whether it has been ejected since its last answer.
     answered_at, last_unanswered_at : float
@@ -129,12 +115,10 @@
         "requests",
         "service",
         "service_time_s",
-        "silent_openings",
         "stall_seen_at",
         "stalled_since",
         "token",
         "unanswered",
-        "unanswered_by_peers",
     )
 
     def __init__(self, record: UpstreamRecord, now: float) -> None:
@@ -151,8 +135,6 @@
         self.requests: dict[RequestInProgress, None] = {}
         self.flow_limit: float | None = None
         self.unanswered = 0
-        self.unanswered_by_peers = 0
-        self.silent_openings: deque[float] = deque(maxlen=MIN_SILENT_OPENINGS)
         self.answered_at = float("-inf")
         self.last_unanswered_at = float("-inf")
         self.last_served_at = float("-inf")
@@ -200,28 +182,9 @@
         return (
             self.stalled_since is not None
             and now - self.stalled_since >= CHECK_AFTER_S
-            and now - self.stall_seen_at <= CHECK_WITHIN_S
             and now - self.checked_at >= CHECK_INTERVAL_S
-            and not self.leaves_openings_unanswered(now)
         )
 
-    def leaves_openings_unanswered(
-        self, since: float, count: int = MIN_SILENT_OPENINGS
-    ) -> bool:
-        """Return whether the latest openings from here went unanswered.
-
-        Parameters
-        ----------
-        since : float
-            When what they are weighed with began, in seconds.
-        count : int
-            How many of them, at most `MIN_SILENT_OPENINGS`.
-        """
-        sent_at = self.silent_openings
-        if len(sent_at) < count:
-            return False
-        return sent_at[-count] >= max(self.alive_at, since - SILENT_OPENING_MEMORY_S)
-
     def note_service_time(self, seconds: float) -> None:
         """Add the time from a request to its answer to the moving average."""
         if not self.service_time_s:
--- a/tests/open_flow_harness.py
+++ b/tests/open_flow_harness.py
@@ -25,6 +25,7 @@
 
 def leave_openings_unanswered(harness, now):
     """Two openings to "a" get no answer, which ejects it."""
+    harness.advance(now)
     for port in (3000, 3001):
         harness.dispatcher.handle(packet(port, SYN), now)
     harness.advance(now + 0.1)
@@ -38,6 +39,16 @@
     flow_answered(harness, 4000, "b", now, ack=100)
 
 
+def cut_off(harness, domain, now, openings=3):
+    """Gossip of a failure domain has stopped, and openings there go unanswered."""
+    harness.health.set_gossip_age(lambda one: 1.5 if one == domain else 0.1)
+    for number in range(openings):
+        sent_at = now + number * 0.01
+        harness.health.note_unanswered_opening(
+            harness.upstream("a"), sent_at, sent_at + 0.05
+        )
+
+
 def harness_with_open_flows(idempotent=True):
     """Flows 2000 and 2001 are open at "a"; both have had their first answer."""
     harness = DispatcherHarness(names=("a",))
