Commands: read required and numeric options in one place

Hard to read: three commands wrote the same check for a missing option, and each numeric option was named twice, once to read it and once for the error; five rounded it by hand. operators/options.py now has required_option and integer_option beside number_option.

The whole suite wasn't run.

--- a/egrethook/operators/commands.py
+++ b/egrethook/operators/commands.py
@@ -38,7 +38,12 @@
 from egrethook.operators.explain import explain, read_lines
 from egrethook.operators.fleet import HEADINGS as FLEET_HEADINGS
 from egrethook.operators.fleet import BalancerState, Fleet, ask_to_leave, fleet_rows
-from egrethook.operators.options import FAULTS_EXIT_STATUS, number_option
+from egrethook.operators.options import (
+    FAULTS_EXIT_STATUS,
+    integer_option,
+    number_option,
+    required_option,
+)
 from egrethook.operators.reference import check_pages, write_pages
 from egrethook.operators.trial_commands import PlotCommand, SoakCommand
 from egrethook.operators.where_command import WhereCommand
@@ -59,10 +64,7 @@
 
     def handle(self) -> int:
         """Run the command."""
-        path = self.option("settings")
-        if not path:
-            raise SettingsError("--settings FILE is missing")
-        settings = load_settings(Path(path))
+        settings = load_settings(Path(required_option(self, "settings", "FILE")))
         log_to(sys.stderr)
         log_fields(process=settings.name)
         run_async(serve, settings)
@@ -97,12 +99,11 @@
 
     def handle(self) -> int:
         """Run the command."""
-        if not self.option("fabric"):
-            raise SettingsError("--fabric HOST:PORT is missing")
-        deadline_s = number_option(self.option("deadline"), "--deadline")
+        fabric = required_option(self, "fabric", "HOST:PORT")
+        deadline_s = number_option(self, "deadline")
         run_async(
             call_service,
-            self.option("fabric"),
+            fabric,
             self.argument("service"),
             self.option("payload").encode(),
             not self.option("once"),
@@ -155,8 +156,8 @@
             raise SettingsError(f"--layout: {layout!r} is not one of {list(LAYOUTS)}")
         options = DemoOptions(
             layout,
-            number_option(self.option("seconds"), "--seconds"),
-            int(number_option(self.option("seed"), "--seed")),
+            number_option(self, "seconds"),
+            integer_option(self, "seed"),
         )
         print_line = self.line_error if self.option("json") else self.line
         report = run_async(Demo(options, print_line).run)
@@ -248,9 +249,7 @@
 
     def handle(self) -> int:
         """Run the command."""
-        if not self.option("config"):
-            raise SettingsError("--config FILE is missing")
-        before = load_document(Path(self.option("config")))
+        before = load_document(Path(required_option(self, "config", "FILE")))
         after = self.change(before)
         self.line(render_indented(after))
         for change in describe_changes(before, after):
--- a/egrethook/operators/options.py
+++ b/egrethook/operators/options.py
@@ -2,21 +2,54 @@
 
 from __future__ import annotations
 
+from cleo.commands.command import Command
+
 from egrethook.exceptions import SettingsError
 
 FAULTS_EXIT_STATUS = 8
 """Exit status of a run in which faults or rule violations were found."""
 
 
-def number_option(text: str, name: str) -> float:
+def required_option(command: Command, name: str, placeholder: str) -> str:
+    """Return the value of an option that must be given.
+
+    Parameters
+    ----------
+    placeholder : str
+        What the error message shows in place of the value, such as ``FILE``.
+
+    Raises
+    ------
+    SettingsError
+        If the option is missing.
+    """
+    value: str | None = command.option(name)
+    if not value:
+        raise SettingsError(f"--{name} {placeholder} is missing")
+    return value
+
+
+def number_option(command: Command, name: str) -> float:
     """Return the value of a numeric option.
 
     Raises
     ------
     SettingsError
-        If the text is not a number.
+        If the value is not a number.
     """
+    text = command.option(name)
     try:
         return float(text)
     except ValueError:
-        raise SettingsError(f"{name}: {text!r} is not a number") from None
+        raise SettingsError(f"--{name}: {text!r} is not a number") from None
+
+
+def integer_option(command: Command, name: str) -> int:
+    """Return the value of a numeric option, rounded towards zero.
+
+    Raises
+    ------
+    SettingsError
+        If the value is not a number.
+    """
+    return int(number_option(command, name))
--- a/egrethook/operators/trial_commands.py
+++ b/egrethook/operators/trial_commands.py
@@ -15,7 +15,11 @@
     run_until_signal,
 )
 from egrethook.exceptions import UsageError
-from egrethook.operators.options import FAULTS_EXIT_STATUS, number_option
+from egrethook.operators.options import (
+    FAULTS_EXIT_STATUS,
+    integer_option,
+    number_option,
+)
 from egrethook.operators.played_days import plot_days
 from egrethook.platform.bench_journal import read_journal
 
@@ -58,15 +62,15 @@
 
     def handle(self) -> int:
         """Run the command."""
-        first_seed = int(number_option(self.option("seed"), "--seed"))
-        seed_count = int(number_option(self.option("seeds"), "--seeds"))
+        first_seed = integer_option(self, "seed")
+        seed_count = integer_option(self, "seeds")
         violation_count = 0
         for seed in range(first_seed, first_seed + seed_count):
             options = SoakOptions(
                 seed,
-                seconds=60.0 * number_option(self.option("minutes"), "--minutes"),
-                vms_per_domain=int(number_option(self.option("vms"), "--vms")),
-                upstreams=int(number_option(self.option("upstreams"), "--upstreams")),
+                seconds=60.0 * number_option(self, "minutes"),
+                vms_per_domain=integer_option(self, "vms"),
+                upstreams=integer_option(self, "upstreams"),
             )
             report = run_async(run_until_signal, Soak(options, self.line))
             if report is None:
