Gossip codec: one table of message variants

Hard to read: the encoders and the decoders listed the same six union fields apart, so a new message had to be entered twice. One table holds field, type, encoder and decoder of each; both lookups are made from it.

Behaviour is unchanged: both lookups hold the same entries in the same order as before (printed from both versions and compared). Run: tests/test_gossip.py, test_discovery.py, test_error_boundary.py, test_speed_exchange.py and test_foreign_entries.py (283 passed); ruff, mypy. The whole suite wasn't run.

--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -367,25 +367,23 @@
     )
 
 
-_ENCODERS: dict[type, tuple[str, Callable[[Any], Any]]] = {
-    Digest: ("digest", _encode_digest),
-    Delta: ("delta", _encode_delta),
-    UpstreamReport: ("report", _encode_report),
-    OutlierReport: ("outlier", _encode_outlier),
-    SpeedReport: ("speeds", _encode_speeds),
-    ReachReport: ("reach", _encode_reach),
-}
-"""Union field and body encoder of each message type."""
-
-_DECODERS: dict[str, Callable[[Any], GossipMessage]] = {
-    "digest": _decode_digest,
-    "delta": _decode_delta,
-    "report": _decode_report,
-    "outlier": _decode_outlier,
-    "speeds": _decode_speeds,
-    "reach": _decode_reach,
+_VARIANTS: tuple[
+    tuple[str, type, Callable[[Any], Any], Callable[[Any], GossipMessage]], ...
+] = (
+    ("digest", Digest, _encode_digest, _decode_digest),
+    ("delta", Delta, _encode_delta, _decode_delta),
+    ("report", UpstreamReport, _encode_report, _decode_report),
+    ("outlier", OutlierReport, _encode_outlier, _decode_outlier),
+    ("speeds", SpeedReport, _encode_speeds, _decode_speeds),
+    ("reach", ReachReport, _encode_reach, _decode_reach),
+)
+"""Union field, message type, body encoder and body decoder of each variant."""
+
+_ENCODERS = {
+    message_type: (field, encode_body)
+    for field, message_type, encode_body, _ in _VARIANTS
 }
-"""Body decoder of each union field."""
+_DECODERS = {field: decode_body for field, _, _, decode_body in _VARIANTS}
 
 _UNKNOWN_AGE_MS = -1
 
