Hand-over: decide the answer to a part in one place

Hard to read: the emulator's schedules wrote again how a balancer answers a part of a hand-over, so they explored a copy of that decision and not the product's. Both now call answer_to_part in balancers/handover.py.

Run: tests/test_balancers.py, test_rights.py and test_switched_off.py (56 passed), test_always.py without its test of real processes (17 passed, that one not run); ruff, mypy. The whole suite wasn't run.

--- a/egrethook/balancers/departure.py
+++ b/egrethook/balancers/departure.py
@@ -7,7 +7,12 @@
 import anyio
 
 from egrethook.balancers.executors import ExecutorRouter
-from egrethook.balancers.handover import HandOverTransfer, TransferredRights, rank_heirs
+from egrethook.balancers.handover import (
+    HandOverTransfer,
+    TransferredRights,
+    answer_to_part,
+    rank_heirs,
+)
 from egrethook.balancers.hub import PeerHub
 from egrethook.balancers.membership import Membership
 from egrethook.balancers.ownership import Ownership, nearest_domains
@@ -160,10 +165,9 @@
 
     def _on_hand_over(self, part: HandOver, _: str) -> None:
         status = self._executor.rights.receive(part, self._clock.now())
-        if status is HandOverStatus.IGNORED:
+        ack = answer_to_part(part, status)
+        if ack is None:
             return
-        accepted = status is not HandOverStatus.REFUSED
-        ack = HandOverAck(part.transfer_id, part.part, accepted)
         self._hub.send(part.executor.balancer, ack)
         if status is HandOverStatus.COMPLETE:
             # Heartbeats tell the other balancers which executors this one replaces.
--- a/egrethook/balancers/handover.py
+++ b/egrethook/balancers/handover.py
@@ -12,6 +12,7 @@
 from egrethook.exceptions import HandOverError
 from egrethook.published.configuration import Vm
 from egrethook.types import ExecutorId, new_random_id
+from egrethook.upstreams.rights import HandOverStatus
 
 PART_MAX_NUMBERS = 400
 """Maximum number of request numbers in one part of a hand-over.
@@ -77,6 +78,20 @@
     return rank(executor.balancer, ((vm.name, vm.weight) for vm in eligible))
 
 
+def answer_to_part(part: HandOver, status: HandOverStatus) -> HandOverAck | None:
+    """Return the heir's answer to a part, or None if it must not answer.
+
+    Parameters
+    ----------
+    status : HandOverStatus
+        What receiving the part has led to.
+    """
+    if status is HandOverStatus.IGNORED:
+        return None
+    accepted = status is not HandOverStatus.REFUSED
+    return HandOverAck(part.transfer_id, part.part, accepted)
+
+
 class HandOverTransfer:
     """Sends the parts of a hand-over to one heir until all are acknowledged.
 
--- a/egrethook/emulator/schedule_nodes.py
+++ b/egrethook/emulator/schedule_nodes.py
@@ -7,7 +7,12 @@
 from typing import TYPE_CHECKING, Any
 
 from egrethook.balancers.executors import ExecutorRouter
-from egrethook.balancers.handover import TransferredRights, rank_heirs, split_into_parts
+from egrethook.balancers.handover import (
+    TransferredRights,
+    answer_to_part,
+    rank_heirs,
+    split_into_parts,
+)
 from egrethook.balancers.membership import Membership
 from egrethook.balancers.ownership import Ownership
 from egrethook.balancers.peer_packets import HandOver, HandOverAck, Relay
@@ -22,7 +27,6 @@
 from egrethook.upstreams.admission import Report
 from egrethook.upstreams.choice import WeightedRandomChooser
 from egrethook.upstreams.executor import Executor
-from egrethook.upstreams.rights import HandOverStatus
 
 if TYPE_CHECKING:
     from egrethook.emulator.schedules import ScheduleWorld
@@ -128,13 +132,10 @@
         self.router.route_to_executor(run, relay.packet, token, relay.hops)
 
     def _on_hand_over(self, part: HandOver) -> None:
-        rights = self.executor.rights
-        status = rights.receive(part, self._world.clock.now())
-        if status is HandOverStatus.IGNORED:
-            return
-        accepted = status is not HandOverStatus.REFUSED
-        ack = HandOverAck(part.transfer_id, part.part, accepted)
-        self._world.post(part.executor.balancer, ack)
+        status = self.executor.rights.receive(part, self._world.clock.now())
+        ack = answer_to_part(part, status)
+        if ack is not None:
+            self._world.post(part.executor.balancer, ack)
 
     def _on_ack(self, ack: HandOverAck) -> None:
         part = self.unacked_parts.get(ack.part)
