Ask more of the evidence of a cut, and refuse no opening late

Gossip counts only while that of another domain is heard, never for the VM's own domain, and not where all VMs of the domain have said that they leave. A copy of an opening, or one that was held, without a route here is dropped, not refused; one whose three copies all came here is handled as an own one again. Drops say why. explain shows the reason.

Options of the commands that aren't finite numbers are coded errors (a traceback, or a run without end, before).

--- a/egrethook/balancers/gossip_members.py
+++ b/egrethook/balancers/gossip_members.py
@@ -13,6 +13,12 @@
 MEMBER_TIMEOUT_S = 2.5
 """Time without a newer heartbeat after which a member counts as dead, in seconds."""
 
+HEARING_TIMEOUT_S = 1.0
+"""Time without gossip from any other failure domain, in seconds, that is no cut of one.
+
+Then this balancer may hear nothing at all.
+"""
+
 FULL_MESH_MAX_MEMBERS = 8
 """Maximum number of live members, this balancer excluded, that all get each digest.
 
@@ -163,6 +169,23 @@
             return None
         return now - self._contacts.get(domain, (float("-inf"), 0.0))[0]
 
+    def unexpected_silence(self, domain: str, now: float) -> float | None:
+        """Return the time since a datagram came from a failure domain, in seconds.
+
+        It is None if its members have all said that they leave, if none ever came, or
+        if none has come lately from any other domain: then the fault is on this side.
+        """
+        stays = any(
+            entry.info.failure_domain == domain and not entry.info.leaving
+            for entry in self._entries.values()
+        )
+        if not stays or domain not in self._contacts:
+            return None
+        others_at = [at for one, (at, _) in self._contacts.items() if one != domain]
+        if now - max(others_at, default=float("-inf")) > HEARING_TIMEOUT_S:
+            return None
+        return now - self._contacts[domain][0]
+
     def confirmed_contact_at(self, domain: str) -> float:
         """Return when the last datagram but one came from a domain, in seconds."""
         return self._contacts.get(domain, (0.0, float("-inf")))[1]
--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -8,6 +8,7 @@
 from egrethook.callers.answer_times import AnswerTimes
 from egrethook.callers.flow_output import FlowOutput
 from egrethook.callers.forwarded_flow import (
+    COPY_DELAY_S,
     OPENING_TIMEOUT_S,
     DispatcherCounts,
     FlowState,
@@ -223,7 +224,7 @@
             return
         route = self._view.route(segment.target)
         if route is None:
-            self._handle_unknown_route(packet)
+            self._handle_unknown_route(packet, now)
             return
         self._counts.openings += 1
         service = pick_service(route, segment.flow)
@@ -253,9 +254,14 @@
             return []
         return [*previous.avoided, *previous.tried]
 
-    def _handle_unknown_route(self, packet: ReceivedPacket) -> None:
-        """Refuse an opening without a route, or hold it until the view is fresh."""
-        if self._view_is_fresh:
+    def _handle_unknown_route(self, packet: ReceivedPacket, now: float) -> None:
+        """Refuse an opening without a route, or hold it until the view is fresh.
+
+        Another balancer may have had the route and opened the flow with a copy.
+        """
+        if self._view_is_fresh and packet.may_have_copies(now):
+            self._output.drop("no route, may be open elsewhere")
+        elif self._view_is_fresh:
             self._output.reset(
                 packet.segment, "no route", version=self._view.table_version
             )
@@ -334,11 +340,11 @@
         silent = flow.tried[-1]
         # An unanswered opening occupies no capacity at its upstream.
         flow.release()
-        if flow.may_be_open_elsewhere(now):
+        if flow.lacks_copy_due_by(now - COPY_DELAY_S):
             return
         if flow.sent_at + CALLER_TIMEOUT_MARGIN_S < flow.caller_timeout_at:
-            first_try = len(flow.tried) == 1
-            self._health.note_unanswered_opening(silent, flow.sent_at, now, first_try)
+            caller = flow.segment.caller[0] if len(flow.tried) == 1 else None
+            self._health.note_unanswered_opening(silent, flow.sent_at, now, caller)
         if len(flow.tried) >= MAX_UPSTREAMS_PER_OPENING or now > flow.caller_timeout_at:
             return
         if self._send_opening(flow, now):
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -131,19 +131,16 @@
         """Whether all copies of the opening came here, and to no other balancer."""
         return self._copies_seen == _ALL_COPIES
 
-    def may_be_open_elsewhere(
-        self, now: float, margin_s: float = -COPY_DELAY_S
-    ) -> bool:
-        """Return whether a copy of the opening may have gone to another balancer.
+    def lacks_copy_due_by(self, time: float) -> bool:
+        """Return whether a copy of the opening that was due did not come here.
 
-        Parameters
-        ----------
-        margin_s : float
-            Time by which a copy counts as sent before it is due, in seconds.
+        Another balancer may have received it and opened the flow.
         """
+        if self.only_seen_here:
+            return False
         if self.handled_late:
             return True
-        elapsed_s = now - self.first_sent_at + margin_s
+        elapsed_s = time - self.first_sent_at
         return any(
             elapsed_s >= offset_s and not self._copies_seen >> copy & 1
             for copy, offset_s in enumerate(OPENING_SEND_OFFSETS_S)
--- a/egrethook/callers/held_packets.py
+++ b/egrethook/callers/held_packets.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from egrethook.callers.forwarded_flow import OPENING_TIMEOUT_S
+from egrethook.callers.forwarded_flow import OPENING_SEND_OFFSETS_S, OPENING_TIMEOUT_S
 from egrethook.callers.segments import Segment
 
 HELD_PACKETS_LIMIT = 2_000
@@ -22,6 +22,11 @@
         """Return whether its sender may still be waiting for the answer."""
         return now - self.arrived_at <= OPENING_TIMEOUT_S
 
+    def may_have_copies(self, now: float) -> bool:
+        """Return whether another copy of an opening may have been sent by now."""
+        first_offset_s = OPENING_SEND_OFFSETS_S[1]
+        return self.segment.copy_index > 0 or now - self.arrived_at >= first_offset_s
+
 
 class HeldPackets:
     """Holds packets with an unknown route or token, until the view may have it.
--- a/egrethook/callers/opening_queues.py
+++ b/egrethook/callers/opening_queues.py
@@ -6,7 +6,12 @@
 from typing import NamedTuple
 
 from egrethook.callers.flow_output import FlowOutput
-from egrethook.callers.forwarded_flow import DispatcherCounts, FlowState, ForwardedFlow
+from egrethook.callers.forwarded_flow import (
+    COPY_DELAY_S,
+    DispatcherCounts,
+    FlowState,
+    ForwardedFlow,
+)
 from egrethook.callers.queueing_policy import (
     TYPICAL_SERVICE_TIME_S,
     PriorityQueueing,
@@ -21,6 +26,12 @@
 _LOG = PartLog("flows")
 
 
+WAITED_TOO_LONG = "waited too long"
+"""Reason to drop an opening whose caller has given up."""
+
+MAYBE_OPEN_ELSEWHERE = "may be open elsewhere"
+"""Reason to drop an opening of which a copy may have gone to another balancer."""
+
 REFUSAL_MARGIN_S = 0.1
 """Time for which a packet may have been under way or queued here, in seconds."""
 
@@ -117,8 +128,8 @@
         opening = self._policy.describe(flow, queue, now)
         wait_s = queue.expected_wait_s(self._answers_per_s(flow.service, now), opening)
         if now + wait_s + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
-            if flow.may_be_open_elsewhere(now):
-                self._output.drop("too many wait, maybe open elsewhere")
+            if flow.lacks_copy_due_by(now - COPY_DELAY_S):
+                self._log_drop(flow, MAYBE_OPEN_ELSEWHERE, len(queue), now)
                 return
             self._refuse(flow, "too many wait", queue, wait_s, now)
             return
@@ -145,7 +156,7 @@
             if flow is None:
                 continue
             if now + TYPICAL_SERVICE_TIME_S > flow.caller_timeout_at:
-                self._drop(flow, len(queue), now)
+                self._drop(flow, WAITED_TOO_LONG, len(queue), now)
                 continue
             flow.has_guaranteed_room = waiting.is_guaranteed
             if self._send(flow, now):
@@ -163,8 +174,8 @@
         for flow in list(self._flows.values()):
             if flow.state is not FlowState.WAITING:
                 continue
-            if flow.may_be_open_elsewhere(now, REFUSAL_MARGIN_S):
-                self._drop(flow, 0, now)
+            if flow.lacks_copy_due_by(now + REFUSAL_MARGIN_S):
+                self._drop(flow, MAYBE_OPEN_ELSEWHERE, 0, now)
                 continue
             del self._flows[flow.segment.flow]
             self._output.reset(flow.segment, "process leaving")
@@ -179,8 +190,11 @@
             flow = self._waiting_flow(hopeless)
             if flow is None:
                 continue
-            if now > flow.caller_timeout_at or not flow.only_seen_here:
-                self._drop(flow, len(queue), now)
+            if now > flow.caller_timeout_at:
+                self._drop(flow, WAITED_TOO_LONG, len(queue), now)
+                continue
+            if not flow.only_seen_here:
+                self._drop(flow, MAYBE_OPEN_ELSEWHERE, len(queue), now)
                 continue
             del self._flows[hopeless.flow]
             self._refuse(flow, "no room in time", queue, 0.0, now)
@@ -215,12 +229,20 @@
         )
         self._policy.note_refused(flow, now)
 
-    def _drop(self, flow: ForwardedFlow, waiting: int, now: float) -> None:
+    def _drop(self, flow: ForwardedFlow, reason: str, waiting: int, now: float) -> None:
+        """Drop a queued opening."""
         del self._flows[flow.segment.flow]
-        self._output.drop("waited too long")
+        self._log_drop(flow, reason, waiting, now)
+
+    def _log_drop(
+        self, flow: ForwardedFlow, reason: str, waiting: int, now: float
+    ) -> None:
+        """Count an opening that is dropped, and log the reason."""
+        self._output.drop(reason)
         _LOG.decision(
-            "an opening is dropped; its caller has given up.",
+            "an opening is dropped.",
             flow=self._codec.describe(flow.segment),
+            reason=reason,
             waited_ms=round((now - flow.arrived_at) * 1000),
             waiting=waiting,
         )
--- a/egrethook/callers/request_tracker.py
+++ b/egrethook/callers/request_tracker.py
@@ -16,11 +16,10 @@
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.requests import RequestListener, StallListener
 
-MAX_UNNOTICED_GAP_S = 0.3
-"""Time between two ticks above which silence ends no flow, in seconds.
+MAX_STALL_S = 0.3
+"""Time between two ticks above which unanswered requests prove nothing, in seconds.
 
-Above the 0.2 s between two ticks of an idle process. Shorter gaps already spoil the
-measured service times, longer ones the view of what is silent at all.
+An idle process ticks every 0.2 s.
 """
 
 
@@ -55,10 +54,12 @@
         self._stall_listeners = stall_listeners
         self._counts = counts
         self._interruptions = Interruptions()
-        self._long_interruptions = Interruptions(MAX_UNNOTICED_GAP_S)
+        self._long_interruptions = Interruptions(MAX_STALL_S)
 
     def note_tick(self, now: float) -> None:
         """Record that the process runs."""
+        if self._long_interruptions.is_catching_up(now):
+            self._health.forget_silent_openings()
         self._interruptions.note_tick(now)
         self._long_interruptions.note_tick(now)
 
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -146,6 +146,7 @@
         self._health = data_path.health
         self._dispatcher = data_path.dispatcher
         self._dispatcher.expect_queued_packets()
+        self._health.set_registry_age(lambda: self._replica.age(self._clock.now()))
         self._new_explainer = data_path.new_explainer
         self._outliers = data_path.outliers
         self._cost_aware = data_path.cost_aware
--- a/egrethook/forwarding/tasks.py
+++ b/egrethook/forwarding/tasks.py
@@ -254,9 +254,14 @@
         return HeardDomains(members.live_domains(now), members.known_domains(now))
 
     def _gossip_age(self, domain: str) -> float | None:
-        """Return the time since gossip came from a failure domain, if any ever did."""
-        age_s = self._members.contact_age(domain, self._clock.now())
-        return None if age_s == float("inf") else age_s
+        """Return the time since gossip came from a domain, if it tells of a cut.
+
+        It tells nothing of this VM's own failure domain, of one whose balancers have
+        all left, or while this VM hears no gossip at all.
+        """
+        if domain == self._settings.failure_domain:
+            return None
+        return self._members.unexpected_silence(domain, self._clock.now())
 
     def _live_balancers(self) -> int:
         """Return the number of live balancers, or 0 before any other is heard."""
--- a/egrethook/operators/explain.py
+++ b/egrethook/operators/explain.py
@@ -21,8 +21,8 @@
     "flows: an opening is refused.": "refused and not run: {reason}",
     "flows: an open flow is reset.": "reset while open: {reason} ({proof}); {upstream}"
     " has left its request unanswered for {silent_ms} ms",
-    "flows: an opening is dropped; its caller has given up.": "dropped after"
-    " {waited_ms} ms in the queue, with {waiting} openings waiting",
+    "flows: an opening is dropped.": "dropped after {waited_ms} ms in the queue"
+    " ({reason}), with {waiting} openings waiting",
     "flows: a packet's token is not known; it is dropped.": "packet dropped:"
     " unknown token {token} at registry revision {revision}",
 }
--- a/egrethook/operators/options.py
+++ b/egrethook/operators/options.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from cleo.commands.command import Command
 
 from egrethook.exceptions import SettingsError
@@ -35,13 +37,16 @@
     Raises
     ------
     SettingsError
-        If the value is not a number.
+        If the value is not a finite number.
     """
     text = command.option(name)
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
-        raise SettingsError(f"--{name}: {text!r} is not a number") from None
+        number = math.nan
+    if not math.isfinite(number):
+        raise SettingsError(f"--{name}: {text!r} is not a number")
+    return number
 
 
 def integer_option(command: Command, name: str) -> int:
@@ -50,6 +55,6 @@
     Raises
     ------
     SettingsError
-        If the value is not a number.
+        If the value is not a finite number.
     """
     return int(number_option(command, name))
--- a/egrethook/upstreams/gone_proof.py
+++ b/egrethook/upstreams/gone_proof.py
@@ -20,7 +20,7 @@
 """Repetitions of the flow's own request from which it counts as unanswered."""
 
 MIN_SILENT_OPENINGS = 3
-"""Openings of different flows whose silence shows that a failure domain is cut off."""
+"""Unanswered openings of different callers that show a cut of a failure domain."""
 
 SILENT_OPENING_MEMORY_S = 2.0
 """Time before a request from which unanswered openings count with it, in seconds."""
@@ -28,7 +28,7 @@
 CUT_CONTACT_AGE_S = 1.0
 """Time without gossip after which a failure domain may be cut off, in seconds.
 
-A balancer of a large fleet gets 1.7 digests a second from each other domain.
+Gossip of a sound domain is older at times, so that this alone proves nothing.
 """
 
 
@@ -61,20 +61,23 @@
     Parameters
     ----------
     gossip_age_s : float or None
-        Time since gossip came from it, in seconds; None if none ever came.
+        Time since gossip came from it, in seconds; None if it tells nothing.
     heard_at : float
         When a caller last showed here that one of its upstreams answered, in seconds.
     others_heard_at : float
         The same for any upstream.
     silent_openings : sequence of float
-        When the latest unanswered openings of different flows were sent to it, at most
-        `MIN_SILENT_OPENINGS`, in seconds.
+        When the latest unanswered openings of different callers were sent to it, at
+        most `MIN_SILENT_OPENINGS`, in seconds.
+    registry_age_s : float
+        Time since the copy of the registry was confirmed, in seconds.
     """
 
     gossip_age_s: float | None
     heard_at: float
     others_heard_at: float
     silent_openings: Sequence[float]
+    registry_age_s: float
 
 
 def find_proof(
@@ -89,19 +92,19 @@
         return None
     if upstream.alive_at >= request.repeated_at[0]:
         return None
-    if _record_is_removed(upstream, now):
+    if _record_is_removed(upstream, now - contact.registry_age_s):
         return GoneProof.RECORD_REMOVED
     if _domain_is_cut_off(request, contact):
         return GoneProof.DOMAIN_CUT_OFF
     return None
 
 
-def _record_is_removed(upstream: Upstream, now: float) -> bool:
-    """Return whether the registry removed the record longer ago than a lapse lasts."""
+def _record_is_removed(upstream: Upstream, confirmed_at: float) -> bool:
+    """Return whether the registry still lacked the record after a lapse would end."""
     gone_at = upstream.gone_at
     if gone_at is None or upstream.alive_at >= gone_at:
         return False
-    return now - gone_at >= EXPIRED_RECORD_GRACE_S
+    return confirmed_at - gone_at >= EXPIRED_RECORD_GRACE_S
 
 
 def _domain_is_cut_off(request: SilentRequest, contact: DomainContact) -> bool:
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -86,15 +86,23 @@
 GossipAge = Callable[[str], float | None]
 """Returns the time since gossip came from a failure domain, in seconds.
 
-It is None if none ever came.
+It is None if that tells nothing about a cut of the domain.
 """
 
+RegistryAge = Callable[[], float]
+"""Returns the time since the copy of the registry was confirmed, in seconds."""
+
 
 def _no_gossip(domain: str) -> float | None:
     """Return None: before other balancers are met, nothing is known of any domain."""
     return None
 
 
+def _just_confirmed() -> float:
+    """Return 0: without a registry to follow, the copy is as good as it gets."""
+    return 0.0
+
+
 class PassiveHealth:
     """Ejects upstreams that leave openings unanswered.
 
@@ -117,7 +125,8 @@
         self._started_at = float("-inf")
         self._last_heard_at = float("-inf")
         self._domain_heard_at: dict[str, float] = {}
-        self._silent_openings: dict[str, deque[float]] = {}
+        self._silent_openings: dict[str, deque[tuple[int, float]]] = {}
+        self._registry_age: RegistryAge = _just_confirmed
         self._gossip_age: GossipAge = _no_gossip
         self._reach_evidence = ReachEvidence()
 
@@ -134,8 +143,16 @@
         """Set what tells how long ago gossip came from a failure domain."""
         self._gossip_age = gossip_age
 
+    def set_registry_age(self, registry_age: RegistryAge) -> None:
+        """Set what tells how long ago the copy of the registry was confirmed."""
+        self._registry_age = registry_age
+
     def note_unanswered_opening(
-        self, upstream: Upstream, sent_at: float, now: float, first_try: bool = True
+        self,
+        upstream: Upstream,
+        sent_at: float,
+        now: float,
+        caller: int | None = None,
     ) -> None:
         """Count an opening that was not answered in time.
 
@@ -144,17 +161,15 @@
 
         Parameters
         ----------
-        first_try : bool
-            Whether it was the first upstream that got the opening. If its caller has
-            gone, all tries are unanswered for this one reason.
+        caller : int, optional
+            The caller's address, if the opening was not sent elsewhere before. A caller
+            that has gone leaves all its openings, and all their tries, unanswered.
         """
         if upstream.answered_at > sent_at:
             return
         self._domain_unanswered_at[upstream.domain] = now
-        if first_try:
-            self._silent_openings.setdefault(
-                upstream.domain, deque(maxlen=MIN_SILENT_OPENINGS)
-            ).append(sent_at)
+        if caller is not None:
+            self._note_silent_opening(upstream.domain, caller, sent_at)
         self._reach_evidence.note_unanswered(upstream.domain, sent_at, now)
         self._count_unanswered(upstream, now - sent_at, now, from_peer=False)
         # Without recent answers from this domain, the fault may be on this side, so
@@ -165,6 +180,18 @@
         ):
             self._notify(upstream, HealthObservation(False, now - sent_at))
 
+    def _note_silent_opening(self, domain: str, caller: int, sent_at: float) -> None:
+        """Remember the latest unanswered openings of different callers."""
+        known = self._silent_openings.get(domain, ())
+        others = [entry for entry in known if entry[0] != caller]
+        self._silent_openings[domain] = deque(
+            [*others, (caller, sent_at)], maxlen=MIN_SILENT_OPENINGS
+        )
+
+    def forget_silent_openings(self) -> None:
+        """Drop unanswered openings as evidence: this process stood still."""
+        self._silent_openings.clear()
+
     def note_answer(self, upstream: Upstream, now: float) -> None:
         """Record an answered opening, which ends an ejection."""
         if upstream.ejected:
@@ -200,7 +227,7 @@
     def note_interruption(self, now: float) -> None:
         """Start afresh: this process has started or been paused."""
         self._started_at = now
-        self._silent_openings.clear()
+        self.forget_silent_openings()
         self._reach_evidence.forget_unanswered()
 
     def gone_proof(
@@ -217,7 +244,8 @@
             self._gossip_age(domain),
             self._domain_heard_at.get(domain, float("-inf")),
             self._last_heard_at,
-            self._silent_openings.get(domain, ()),
+            [sent_at for _, sent_at in self._silent_openings.get(domain, ())],
+            self._registry_age(),
         )
         return find_proof(upstream, request, contact, now)
 
--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -106,7 +106,8 @@
         """Drop upstreams whose grace period is over, and tokens after `flow_life_s`."""
         for name, until in list(self._grace_ends_at.items()):
             if now >= until:
-                self._drop(self._by_name[name], until - EXPIRED_RECORD_GRACE_S)
+                removed_at = until - EXPIRED_RECORD_GRACE_S
+                self._drop(self._by_name[name], removed_at)
         for token, upstream in list(self._gone.items()):
             gone_at = upstream.gone_at
             if gone_at is None or now - gone_at < self._flow_life_s:
@@ -116,11 +117,12 @@
                 del self._by_token[token]
                 self._pass_on_token(token)
 
-    def _drop(self, upstream: Upstream, now: float) -> None:
+    def _drop(self, upstream: Upstream, removed_at: float) -> None:
+        """Remove an upstream whose record was removed at `removed_at`."""
         del self._by_name[upstream.name]
         self._grace_ends_at.pop(upstream.name, None)
         self._remove_from_service(upstream)
-        self._retire(upstream, now)
+        self._retire(upstream, removed_at)
 
     def _retire(self, upstream: Upstream, now: float) -> None:
         self._version += 1
--- a/tests/open_flow_harness.py
+++ b/tests/open_flow_harness.py
@@ -40,12 +40,12 @@
 
 
 def cut_off(harness, domain, now, openings=3):
-    """Gossip of a failure domain has stopped, and openings there go unanswered."""
+    """Gossip of a failure domain has stopped; openings of callers go unanswered."""
     harness.health.set_gossip_age(lambda one: 1.5 if one == domain else 0.1)
     for number in range(openings):
         sent_at = now + number * 0.01
         harness.health.note_unanswered_opening(
-            harness.upstream("a"), sent_at, sent_at + 0.05
+            harness.upstream("a"), sent_at, sent_at + 0.05, caller=number
         )
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -45,6 +45,15 @@
     return str(path)
 
 
+@pytest.mark.parametrize("value", ["inf", "nan", "many"])
+@pytest.mark.parametrize("option", ["--seed", "--minutes"])
+def test_option_that_is_no_finite_number_is_a_coded_error(run, option, value):
+    """Guards against a traceback, and a run that never ends."""
+    status, _, err = run("soak", option, value)
+    assert (status, err.startswith("egrethook: E10")) == (2, True)
+    assert f"{option}: {value!r} is not a number" in err
+
+
 def test_check_of_valid_settings_or_value_succeeds(run, tmp_path, settings):
     status, out, _ = run("check", write(tmp_path / "a.yaml", settings))
     assert (status, "bilbao-1" in out) == (0, True)
