--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -82,6 +82,8 @@
 
     def to_upstream(self, address: tuple[str, int], packet: bytes) -> None:
         """Send a packet to an upstream."""
+        if self._world.is_cut_off(self._domain, address[0]):
+            return
         if self._world.passes(self._vm, address[0]):
             self._world.packet_to_upstream(self._domain, address[0], packet)
 
@@ -313,6 +315,11 @@
         """Let no packet and no gossip pass between two failure domains any more."""
         self._cut_at[frozenset((domain, other))] = self.now
 
+    def is_cut_off(self, domain: str, upstream: str) -> bool:
+        """Return whether a domain's balancers can't reach an upstream."""
+        other = self.upstreams[upstream].record.failure_domain
+        return frozenset((domain, other)) in self._cut_at
+
     def _gossip_age(self, domain: str, other: str) -> float:
         """Return the time since a domain's balancers heard of another domain's."""
         cut_at = self._cut_at.get(frozenset((domain, other)), self.now)
@@ -491,9 +498,7 @@
 
     def passes(self, vm: int, upstream: str) -> bool:
         """Return whether packets of a balancer reach an upstream; see subclasses."""
-        record = self.upstreams[upstream].record
-        domains = frozenset((self.vms[vm].domain, record.failure_domain))
-        return domains not in self._cut_at
+        return True
 
     def packet_to_upstream(self, domain: str, name: str, packet: bytes) -> None:
         """Deliver a packet from a balancer to an upstream after the link delay."""
--- a/egrethook/emulator/soak/fleet.py
+++ b/egrethook/emulator/soak/fleet.py
@@ -44,6 +44,9 @@
 SHUTDOWN_TIMEOUT_S = 6.0
 """Time in which a process must end after SIGTERM, in seconds."""
 
+PROBE_ERRORS = (httpx.HTTPError, AttributeError)
+"""Errors of a failed probe; anyio raises AttributeError if a connection just closed."""
+
 PEER_OFFSET, PROBE_OFFSET, METRICS_OFFSET, PROXY_OFFSET = 1, 2, 3, 4
 """Offsets of the other ports of a VM from its packet port."""
 
@@ -256,7 +259,7 @@
             try:
                 response = await self._client.get(url)
                 ready = response.status_code == httpx.codes.OK
-            except httpx.HTTPError:
+            except PROBE_ERRORS:
                 ready = False
             vm.failed_probes = 0 if ready else vm.failed_probes + 1
             await anyio.sleep(PROBE_INTERVAL_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 import time
 from contextlib import ExitStack
 from pathlib import Path
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -209,3 +210,20 @@
     fleet = SoakFleet([vm], tmp_path, violations)
     DomainCut("b", fleet, StoreEmulator(), [], violations)._check_logs([vm])
     assert [violation.rule for violation in violations] == ["departure"]
+
+
+def test_probe_on_a_connection_that_just_closed_has_failed():
+    """Guards against a soak that ends with an error of its HTTP client."""
+
+    class ClosingClient:
+        async def get(self, url):
+            raise AttributeError("'NoneType' object has no attribute 'getpeername'")
+
+    vm = SoakVm("vm-1", "zone-a", "127.0.0.1", 1, None, failed_probes=0)
+
+    async def probe():
+        with anyio.move_on_after(0.1):
+            await SoakFleet.probe(SimpleNamespace(_client=ClosingClient()), vm)
+
+    anyio.run(probe)
+    assert vm.failed_probes == 1
