Keep the clock and the figures of simulated flows in modules of their own

FlowWorld played clock, balancers, callers, upstreams, faults and results in one class of 620 lines; a reader could not tell which of its attributes belong to what. The queue of events moves to emulator/flow_events.py, the figures of the calls to flow_results.py.

--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
 from collections.abc import Callable, Collection
@@ -24,6 +23,7 @@
     UpstreamRecord,
 )
 from egrethook.discovery.view import ForwardingView
+from egrethook.emulator.flow_events import EventQueue
 from egrethook.emulator.flow_peers import (
     AnswerFault,
     Call,
@@ -41,6 +41,7 @@
     route_table,
     upstream_record,
 )
+from egrethook.emulator.flow_results import answered_share, mean_worth, on_time_share
 from egrethook.emulator.packets import Packet
 from egrethook.forwarding.data_path import (
     CostAwarePlacement,
@@ -175,9 +176,7 @@
         self._features = features
         self._slow_start = slow_start
         self.draw_service_time_s = lambda: self.rng.uniform(0.012, 0.035)
-        self.now = 0.0
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._event_numbers = itertools.count()
+        self._events = EventQueue()
         self._ports = itertools.count(1024)
         self.decoder = InMemoryDecoder()
         self.table = route_table(objective_s=objective_s)
@@ -286,17 +285,18 @@
 
     # Time ------------------------------------------------------------------------
 
+    @property
+    def now(self) -> float:
+        """Virtual time, in seconds."""
+        return self._events.now
+
     def after(self, delay_s: float, action: Callable[[], None]) -> None:
         """Schedule an action."""
-        event = (self.now + delay_s, next(self._event_numbers), action)
-        heapq.heappush(self._events, event)
+        self._events.after(delay_s, action)
 
     def run(self, until: float) -> None:
         """Process all events up to a time."""
-        while self._events and self._events[0][0] <= until:
-            self.now, _, action = heapq.heappop(self._events)
-            action()
-        self.now = until
+        self._events.run(until)
 
     def _tick(self, vm: SimulatedVm) -> None:
         if vm.up and not vm.paused:
@@ -605,19 +605,12 @@
 
     def on_time_share(self, objective_s: float = 0.15) -> float:
         """Return the fraction of calls answered within a latency objective."""
-        on_time = sum(
-            call.answered_at is not None and call.latency_s <= objective_s
-            for call in self.calls
-        )
-        return on_time / len(self.calls)
+        return on_time_share(self.calls, objective_s)
 
     def worth(self, objective_s: float = 0.15, late_worth: float = 0.3) -> float:
         """Return the mean worth of calls: 1 on time, `late_worth` late, else 0."""
-        on_time = self.on_time_share(objective_s)
-        return on_time + late_worth * (self.answered_share() - on_time)
+        return mean_worth(self.calls, objective_s, late_worth)
 
     def answered_share(self) -> float:
         """Return the fraction of calls that were answered."""
-        return sum(call.answered_at is not None for call in self.calls) / len(
-            self.calls
-        )
+        return answered_share(self.calls)
