Keep the links of simulated flows in a module of their own

Delays, losses, cuts and redirects stood in five places of FlowWorld, and each answer to a caller added the delay by itself. They move to emulator/flow_links.py. Resets from balancers take one method of FlowWorld instead of two; nothing else used these.

--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -24,6 +24,7 @@
 )
 from egrethook.discovery.view import ForwardingView
 from egrethook.emulator.flow_events import EventQueue
+from egrethook.emulator.flow_links import INTRA_DOMAIN_DELAY_S, Links
 from egrethook.emulator.flow_peers import (
     AnswerFault,
     Call,
@@ -64,7 +65,6 @@
 from egrethook.upstreams.upstream import Upstream
 
 TICK_INTERVAL_S = 0.01
-INTRA_DOMAIN_DELAY_S = 0.0001
 MAX_RETRIES = 2
 UPSTREAM_QUEUE_LIMIT = 8
 INITIAL_FLOW_LIMIT = 2
@@ -88,10 +88,7 @@
 
     def to_caller(self, caller: IPv4Endpoint, packet: bytes) -> None:
         """Reset the caller; the only packets sent to callers are resets."""
-        self._world.note_reset(caller[1])
-        self._world.after(
-            self._world.caller_delay_s, lambda: self._world.on_reset(caller[1])
-        )
+        self._world.reset_to_caller(caller[1])
 
 
 @dataclass
@@ -168,15 +165,15 @@
         slow_start: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
-        self.caller_delay_s = caller_delay_s
-        self._inter_domain_delay_s = inter_domain_delay_s
         self._new_limit = new_limit
         self._shares_health = shares_health
-        self._loss_share = loss_share
         self._features = features
         self._slow_start = slow_start
         self.draw_service_time_s = lambda: self.rng.uniform(0.012, 0.035)
         self._events = EventQueue()
+        self._links = Links(
+            self._events, self.rng, caller_delay_s, inter_domain_delay_s, loss_share
+        )
         self._ports = itertools.count(1024)
         self.decoder = InMemoryDecoder()
         self.table = route_table(objective_s=objective_s)
@@ -185,8 +182,6 @@
         self.resets = 0
         self.upstreams_of_reset_flows: list[str] = []
         self._calls_by_port: dict[int, Call] = {}
-        self._redirects: dict[int, int] = {}
-        self._cut_at: dict[frozenset[str], float] = {}
         self._vm_numbers = itertools.count()
         self.vms = [self._new_vm(domain) for domain in domains]
         for vm in self.vms:
@@ -223,7 +218,7 @@
             cost_aware=data_path.cost_aware,
             data_path=data_path,
         )
-        health.set_gossip_age(partial(self._gossip_age, domain))
+        health.set_gossip_age(partial(self._links.gossip_age, domain))
         if self._shares_health:
             health.set_listener(partial(self._share_health, vm))
             if outliers is not None:
@@ -311,21 +306,11 @@
 
     def cut(self, domain: str, other: str) -> None:
         """Let no packet and no gossip pass between two failure domains any more."""
-        self._cut_at[frozenset((domain, other))] = self.now
-
-    def _gossip_age(self, domain: str, other: str) -> float:
-        """Return the time since a domain's balancers heard of another domain's."""
-        cut_at = self._cut_at.get(frozenset((domain, other)), self.now)
-        return self.now - cut_at
+        self._links.cut(domain, other)
 
     def redirect(self, vm: int, other: int, duration_s: float) -> None:
         """Hand the packets of a balancer's callers to another one for a while."""
-        self._redirects[vm] = other
-
-        def end() -> None:
-            self._redirects.pop(vm, None)
-
-        self.after(duration_s, end)
+        self._links.redirect(vm, other, duration_s)
 
     def _resume(self, vm: SimulatedVm) -> None:
         vm.paused = False
@@ -427,14 +412,14 @@
             return
         self._start_attempt(call)
 
-    def note_reset(self, port: int) -> None:
+    def _note_reset(self, port: int) -> None:
         """Record which upstream's flow a balancer resets, if it is open."""
         call = self._calls_by_port.get(port)
         if call is not None and call.token:
             upstream = self.vms[call.vm].view.upstreams.by_token[call.token]
             self.upstreams_of_reset_flows.append(upstream.name)
 
-    def on_reset(self, port: int) -> None:
+    def _on_reset(self, port: int) -> None:
         """Handle a reset that arrives at the port of a caller."""
         call = self._calls_by_port.get(port)
         if call is None:
@@ -475,8 +460,8 @@
             self._send(call, ACK, bytes(REQUEST_BYTES))
 
     def _send_to_vm(self, call: Call, packet: bytes) -> None:
-        vm = self.vms[self._redirects.get(call.vm, call.vm)]
-        if self._loss_share and self.rng.random() < self._loss_share:
+        vm = self.vms[self._links.receiver(call.vm)]
+        if self._links.loses_packet():
             return
 
         def arrive() -> None:
@@ -485,23 +470,28 @@
             elif vm.up:
                 vm.dispatcher.handle(packet, self.now)
 
-        self.after(self.caller_delay_s, arrive)
+        self._links.after_caller_delay(arrive)
 
     # Upstreams -------------------------------------------------------------------
 
     def passes(self, vm: int, upstream: str) -> bool:
         """Return whether packets of a balancer reach an upstream; see subclasses."""
         record = self.upstreams[upstream].record
-        domains = frozenset((self.vms[vm].domain, record.failure_domain))
-        return domains not in self._cut_at
+        return not self._links.is_cut(self.vms[vm].domain, record.failure_domain)
 
     def packet_to_upstream(self, domain: str, name: str, packet: bytes) -> None:
         """Deliver a packet from a balancer to an upstream after the link delay."""
         upstream = self.upstreams[name]
-        delay_s = INTRA_DOMAIN_DELAY_S
-        if upstream.record.failure_domain != domain:
-            delay_s += self._inter_domain_delay_s
-        self.after(delay_s, lambda: self._on_upstream_packet(upstream, packet))
+        self._links.after_domain_delay(
+            domain,
+            upstream.record.failure_domain,
+            lambda: self._on_upstream_packet(upstream, packet),
+        )
+
+    def reset_to_caller(self, port: int) -> None:
+        """Deliver a reset from a balancer to the port of a caller."""
+        self._note_reset(port)
+        self._links.after_caller_delay(lambda: self._on_reset(port))
 
     def _on_upstream_packet(self, upstream: SimulatedUpstream, packet: bytes) -> None:
         if upstream.unresponsive:
@@ -511,12 +501,11 @@
             return
         received = Packet.decode(packet, INSTANCE_PREFIX.size)
         if upstream.port_closed:
-            self.after(self.caller_delay_s, lambda: self.on_reset(received.sport))
+            self._links.after_caller_delay(lambda: self._on_reset(received.sport))
         elif received.flags & SYN:
             upstream.openings += 1
-            self.after(
-                self.caller_delay_s,
-                lambda: self._on_opened(received.sport, received.echo),
+            self._links.after_caller_delay(
+                lambda: self._on_opened(received.sport, received.echo)
             )
         elif received.data and not received.flags & (FIN | RST):
             call = self._calls_by_port.get(received.sport)
@@ -543,7 +532,7 @@
             upstream.queue.append(request)
         else:
             upstream.shed += 1
-            self.after(self.caller_delay_s, lambda: self._on_shed(request))
+            self._links.after_caller_delay(lambda: self._on_shed(request))
 
     def _fail_request(
         self, upstream: SimulatedUpstream, fault: AnswerFault, request: UpstreamRequest
@@ -563,7 +552,7 @@
                 call.failed = True
 
         if not fault.hangs:
-            self.after(fault.service_s + self.caller_delay_s, on_error)
+            self._links.after_caller_delay(on_error, fault.service_s)
 
     def _on_shed(self, request: UpstreamRequest) -> None:
         call = request.call
@@ -586,7 +575,7 @@
         if upstream.queue:
             self._start_request(upstream, upstream.queue.pop(0))
         if not upstream.unresponsive:
-            self.after(self.caller_delay_s, lambda: self._on_answer(request))
+            self._links.after_caller_delay(lambda: self._on_answer(request))
 
     def _on_answer(self, request: UpstreamRequest) -> None:
         call = request.call
