Keep simulated balancers and their gossip in modules of their own

FlowWorld built each balancer in 40 lines and changed its state from outside. Balancers and how they are built move to emulator/flow_balancers.py, where a balancer itself handles its pause and its ticks; the network that they need is a protocol. What balancers of a domain tell each other moves to flow_gossip.py.

--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -10,21 +10,18 @@
 import itertools
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
 from functools import partial
 
-from egrethook.callers.flow_dispatch import FlowDispatcher
 from egrethook.callers.forwarded_flow import OPENING_SEND_OFFSETS_S, OPENING_TIMEOUT_S
-from egrethook.callers.segments import IPv4Endpoint
-from egrethook.discovery.records import (
-    ItemKind,
-    PublishedItem,
-    RouteTable,
-    UpstreamRecord,
+from egrethook.discovery.records import ItemKind, PublishedItem
+from egrethook.emulator.flow_balancers import (
+    BalancerBuilder,
+    SimulatedVm,
+    default_limit,
 )
-from egrethook.discovery.view import ForwardingView
 from egrethook.emulator.flow_events import EventQueue
-from egrethook.emulator.flow_links import INTRA_DOMAIN_DELAY_S, Links
+from egrethook.emulator.flow_gossip import DomainGossip
+from egrethook.emulator.flow_links import Links
 from egrethook.emulator.flow_peers import (
     AnswerFault,
     Call,
@@ -37,18 +34,12 @@
     SLOTS,
     TARGET,
     InMemoryDecoder,
-    NoColdLimit,
     caller_packet,
     route_table,
     upstream_record,
 )
 from egrethook.emulator.flow_results import answered_share, mean_worth, on_time_share
 from egrethook.emulator.packets import Packet
-from egrethook.forwarding.data_path import (
-    CostAwarePlacement,
-    DataPath,
-    build_data_path,
-)
 from egrethook.forwarding.features import Feature
 from egrethook.platform.packet_header import (
     ACK,
@@ -56,67 +47,18 @@
     INSTANCE_PREFIX,
     RST,
     SYN,
-    PacketHeader,
 )
-from egrethook.upstreams.flow_limit import AimdFlowLimit, FlowLimit
-from egrethook.upstreams.health import HealthObservation, PassiveHealth
-from egrethook.upstreams.outliers import OutlierDetector
-from egrethook.upstreams.subsets import PreferredSubsets
+from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.upstream import Upstream
 
 TICK_INTERVAL_S = 0.01
 MAX_RETRIES = 2
 UPSTREAM_QUEUE_LIMIT = 8
-INITIAL_FLOW_LIMIT = 2
 CALLER_COUNT = 80
 REQUEST_BYTES = 168
 REQUEST_RETRANSMISSION_OFFSETS_S = (0.2, 0.6, 1.4)
 
 
-class _SimulatedPacketPort:
-    """Passes the packets of a dispatcher to the simulation."""
-
-    def __init__(self, world: FlowWorld, domain: str, vm: int) -> None:
-        self._world = world
-        self._domain = domain
-        self._vm = vm
-
-    def to_upstream(self, address: tuple[str, int], packet: bytes) -> None:
-        """Send a packet to an upstream."""
-        if self._world.passes(self._vm, address[0]):
-            self._world.packet_to_upstream(self._domain, address[0], packet)
-
-    def to_caller(self, caller: IPv4Endpoint, packet: bytes) -> None:
-        """Reset the caller; the only packets sent to callers are resets."""
-        self._world.reset_to_caller(caller[1])
-
-
-@dataclass
-class SimulatedVm:
-    """A balancer with its dispatcher and its view of the configuration.
-
-    A balancer that is not `up` drops all packets; one that is `paused` handles them
-    when it goes on.
-    """
-
-    domain: str
-    view: ForwardingView
-    dispatcher: FlowDispatcher
-    health: PassiveHealth
-    outliers: OutlierDetector | None = None
-    name: str = ""
-    up: bool = True
-    paused: bool = False
-    subsets: PreferredSubsets | None = None
-    waiting_packets: list[bytes] = field(default_factory=list)
-    cost_aware: CostAwarePlacement | None = None
-    data_path: DataPath | None = None
-
-
-def _default_limit() -> FlowLimit:
-    return AimdFlowLimit(INITIAL_FLOW_LIMIT)
-
-
 class FlowWorld:
     """The simulation: event queue, balancers, upstreams and callers.
 
@@ -157,7 +99,7 @@
         domains: tuple[str, ...],
         caller_delay_s: float = 0.003,
         inter_domain_delay_s: float = 0.003,
-        new_limit: Callable[[], FlowLimit] = _default_limit,
+        new_limit: Callable[[], FlowLimit] = default_limit,
         shares_health: bool = True,
         loss_share: float = 0.0,
         features: Collection[Feature] = (),
@@ -165,98 +107,44 @@
         slow_start: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
-        self._new_limit = new_limit
         self._shares_health = shares_health
-        self._features = features
-        self._slow_start = slow_start
         self.draw_service_time_s = lambda: self.rng.uniform(0.012, 0.035)
+        self._decoder = InMemoryDecoder()
         self._events = EventQueue()
         self._links = Links(
             self._events, self.rng, caller_delay_s, inter_domain_delay_s, loss_share
         )
+        self.vms: list[SimulatedVm] = []
+        self._gossip = DomainGossip(self._events, self.vms)
+        self._balancers = BalancerBuilder(
+            self, self._decoder, new_limit, features, slow_start
+        )
         self._ports = itertools.count(1024)
-        self.decoder = InMemoryDecoder()
         self.table = route_table(objective_s=objective_s)
         self.upstreams: dict[str, SimulatedUpstream] = {}
         self.calls: list[Call] = []
         self.resets = 0
         self.upstreams_of_reset_flows: list[str] = []
         self._calls_by_port: dict[int, Call] = {}
-        self._vm_numbers = itertools.count()
-        self.vms = [self._new_vm(domain) for domain in domains]
+        self.vms.extend([self._new_vm(domain) for domain in domains])
         for vm in self.vms:
             self._tick(vm)
 
     # Setup -----------------------------------------------------------------------
 
     def _new_vm(self, domain: str) -> SimulatedVm:
-        view = ForwardingView(self.decoder, flow_life_s=60.0)
-        limit = self._new_limit()
-        number = next(self._vm_numbers)
-        name = f"vm-{number}"
-        data_path = build_data_path(
-            name,
-            domain,
-            self._features,
-            view,
-            PacketHeader(),
-            _SimulatedPacketPort(self, domain, number),
-            limit,
-            NoColdLimit(),
-            self._live_balancers if self._slow_start else None,
-        )
-        data_path.dispatcher.view_is_fresh = True
-        health, outliers = data_path.health, data_path.outliers
-        vm = SimulatedVm(
-            domain,
-            view,
-            data_path.dispatcher,
-            health,
-            outliers,
-            name,
-            subsets=data_path.subsets,
-            cost_aware=data_path.cost_aware,
-            data_path=data_path,
-        )
-        health.set_gossip_age(partial(self._links.gossip_age, domain))
+        vm = self._balancers.build(domain)
         if self._shares_health:
-            health.set_listener(partial(self._share_health, vm))
-            if outliers is not None:
-                outliers.set_listener(partial(self._share_outlier, vm))
+            vm.health.set_listener(partial(self._gossip.share_health, vm))
+            if vm.outliers is not None:
+                vm.outliers.set_listener(partial(self._share_outlier, vm))
         return vm
 
     def _share_outlier(
         self, sender: SimulatedVm, upstream: Upstream, is_outlier: bool
     ) -> None:
         """Report what a balancer sees of an upstream's answers to its domain."""
-
-        def arrive() -> None:
-            for vm in self.vms:
-                known = vm.view.upstreams.get(upstream.name)
-                if vm is sender or vm.domain != sender.domain or known is None:
-                    continue
-                if vm.outliers is not None:
-                    vm.outliers.note_report(known, is_outlier, sender.name, self.now)
-
-        self.after(INTRA_DOMAIN_DELAY_S, arrive)
-
-    def _live_balancers(self) -> int:
-        return sum(vm.up for vm in self.vms)
-
-    def _share_health(
-        self, sender: SimulatedVm, upstream: Upstream, observation: HealthObservation
-    ) -> None:
-        """Report a health observation to the other balancers of the domain."""
-        name = upstream.name
-
-        def arrive() -> None:
-            for vm in self.vms:
-                if vm is not sender and vm.domain == sender.domain:
-                    known = vm.view.upstreams.get(name)
-                    if known is not None:
-                        vm.health.note_report(known, observation, self.now)
-
-        self.after(INTRA_DOMAIN_DELAY_S, arrive)
+        self._gossip.share_outlier(sender, upstream, is_outlier)
 
     def add_upstream(
         self, name: str, domain: str, slots: int = SLOTS, service: str = SERVICE
@@ -268,16 +156,14 @@
 
     def publish(self, vm: SimulatedVm, revision: int = 1) -> None:
         """Publish the configuration and all upstreams to a balancer."""
-        items = [PublishedItem(ItemKind.ROUTES, "", revision, self._encode(self.table))]
+        routes = self._decoder.encode(self.table)
+        items = [PublishedItem(ItemKind.ROUTES, "", revision, routes)]
         for upstream in self.upstreams.values():
-            value = self._encode(upstream.record)
+            value = self._decoder.encode(upstream.record)
             name = upstream.record.name
             items.append(PublishedItem(ItemKind.UPSTREAM, name, revision, value))
         vm.view.update(items, self.now)
 
-    def _encode(self, record: UpstreamRecord | RouteTable) -> bytes:
-        return self.decoder.encode(record)
-
     # Time ------------------------------------------------------------------------
 
     @property
@@ -294,15 +180,13 @@
         self._events.run(until)
 
     def _tick(self, vm: SimulatedVm) -> None:
-        if vm.up and not vm.paused:
-            vm.dispatcher.tick(self.now)
-            vm.view.upstreams.expire(self.now)
+        vm.tick(self.now)
         self.after(TICK_INTERVAL_S, lambda: self._tick(vm))
 
     def pause(self, vm: SimulatedVm, duration_s: float) -> None:
         """Stop a balancer for a while; packets wait at its socket."""
         vm.paused = True
-        self.after(duration_s, partial(self._resume, vm))
+        self.after(duration_s, lambda: vm.resume(self.now))
 
     def cut(self, domain: str, other: str) -> None:
         """Let no packet and no gossip pass between two failure domains any more."""
@@ -312,13 +196,6 @@
         """Hand the packets of a balancer's callers to another one for a while."""
         self._links.redirect(vm, other, duration_s)
 
-    def _resume(self, vm: SimulatedVm) -> None:
-        vm.paused = False
-        packets, vm.waiting_packets = vm.waiting_packets, []
-        for packet in packets:
-            vm.dispatcher.handle(packet, self.now)
-        vm.dispatcher.tick(self.now)
-
     # Callers ---------------------------------------------------------------------
 
     def call_domain(self, domain: str) -> Call:
@@ -460,17 +337,10 @@
             self._send(call, ACK, bytes(REQUEST_BYTES))
 
     def _send_to_vm(self, call: Call, packet: bytes) -> None:
+        """Deliver a packet of a caller to its balancer."""
         vm = self.vms[self._links.receiver(call.vm)]
-        if self._links.loses_packet():
-            return
-
-        def arrive() -> None:
-            if vm.paused:
-                vm.waiting_packets.append(packet)
-            elif vm.up:
-                vm.dispatcher.handle(packet, self.now)
-
-        self._links.after_caller_delay(arrive)
+        if not self._links.loses_packet():
+            self._links.after_caller_delay(lambda: vm.receive(packet, self.now))
 
     # Upstreams -------------------------------------------------------------------
 
@@ -493,6 +363,14 @@
         self._note_reset(port)
         self._links.after_caller_delay(lambda: self._on_reset(port))
 
+    def gossip_age(self, domain: str, other: str) -> float:
+        """Return the time since a domain's balancers heard of another domain's."""
+        return self._links.gossip_age(domain, other)
+
+    def live_balancers(self) -> int:
+        """Return the number of balancers that are up."""
+        return sum(vm.up for vm in self.vms)
+
     def _on_upstream_packet(self, upstream: SimulatedUpstream, packet: bytes) -> None:
         if upstream.unresponsive:
             return
