Keep the behaviour of simulated callers in a module of their own

What callers do stood partly among the methods of the upstreams, so that no place showed a call from its start to its answer. Attempts, requests, retries and reactions to answers, errors, refusals and resets move to emulator/flow_callers.py. FlowWorld keeps the private methods that tests override or call.

--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -7,18 +7,17 @@
 
 from __future__ import annotations
 
-import itertools
 import random
 from collections.abc import Callable, Collection
 from functools import partial
 
-from egrethook.callers.forwarded_flow import OPENING_SEND_OFFSETS_S, OPENING_TIMEOUT_S
 from egrethook.discovery.records import ItemKind, PublishedItem
 from egrethook.emulator.flow_balancers import (
     BalancerBuilder,
     SimulatedVm,
     default_limit,
 )
+from egrethook.emulator.flow_callers import SimulatedCallers
 from egrethook.emulator.flow_events import EventQueue
 from egrethook.emulator.flow_gossip import DomainGossip
 from egrethook.emulator.flow_links import Links
@@ -29,34 +28,21 @@
     UpstreamRequest,
 )
 from egrethook.emulator.flow_records import (
-    CALLER_HOST,
     SERVICE,
     SLOTS,
-    TARGET,
     InMemoryDecoder,
-    caller_packet,
     route_table,
     upstream_record,
 )
 from egrethook.emulator.flow_results import answered_share, mean_worth, on_time_share
 from egrethook.emulator.packets import Packet
 from egrethook.forwarding.features import Feature
-from egrethook.platform.packet_header import (
-    ACK,
-    FIN,
-    INSTANCE_PREFIX,
-    RST,
-    SYN,
-)
+from egrethook.platform.packet_header import FIN, INSTANCE_PREFIX, RST, SYN
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.upstream import Upstream
 
 TICK_INTERVAL_S = 0.01
-MAX_RETRIES = 2
 UPSTREAM_QUEUE_LIMIT = 8
-CALLER_COUNT = 80
-REQUEST_BYTES = 168
-REQUEST_RETRANSMISSION_OFFSETS_S = (0.2, 0.6, 1.4)
 
 
 class FlowWorld:
@@ -85,12 +71,12 @@
 
     Attributes
     ----------
+    rng : random.Random
+        The source of all random choices.
     table : RouteTable
         The routes that `publish` publishes.
-    resets : int
-        Resets that callers got on flows of theirs.
-    upstreams_of_reset_flows : list of str
-        The upstream of each open flow that a balancer has reset.
+    vms : list of SimulatedVm
+        The balancers by number.
     """
 
     def __init__(
@@ -108,7 +94,6 @@
     ) -> None:
         self.rng = random.Random(seed)
         self._shares_health = shares_health
-        self.draw_service_time_s = lambda: self.rng.uniform(0.012, 0.035)
         self._decoder = InMemoryDecoder()
         self._events = EventQueue()
         self._links = Links(
@@ -116,16 +101,14 @@
         )
         self.vms: list[SimulatedVm] = []
         self._gossip = DomainGossip(self._events, self.vms)
+        self._callers = SimulatedCallers(
+            self._events, self.rng, self.vms, self._send_to_vm
+        )
         self._balancers = BalancerBuilder(
             self, self._decoder, new_limit, features, slow_start
         )
-        self._ports = itertools.count(1024)
         self.table = route_table(objective_s=objective_s)
         self.upstreams: dict[str, SimulatedUpstream] = {}
-        self.calls: list[Call] = []
-        self.resets = 0
-        self.upstreams_of_reset_flows: list[str] = []
-        self._calls_by_port: dict[int, Call] = {}
         self.vms.extend([self._new_vm(domain) for domain in domains])
         for vm in self.vms:
             self._tick(vm)
@@ -200,10 +183,7 @@
 
     def call_domain(self, domain: str) -> Call:
         """Start a request; each attempt uses a random balancer of a failure domain."""
-        call = self._new_call(0, 2.0, None, None)
-        call.domain = domain
-        self._start_attempt(call)
-        return call
+        return self.call(0, domain=domain)
 
     def call(
         self,
@@ -227,114 +207,44 @@
         service_time_s: float | None,
         think_time_s: Callable[[], float] | None,
     ) -> Call:
-        if service_time_s is None:
-            service_time_s = self.draw_service_time_s()
-        number = len(self.calls)
-        host = CALLER_HOST + number % CALLER_COUNT
-        call = Call(
-            number, vm, host, self.now, deadline_s, service_time_s, think_time_s
-        )
-        self.calls.append(call)
-        self.after(deadline_s, lambda: self._on_deadline(call))
-        return call
+        return self._callers.new_call(vm, deadline_s, service_time_s, think_time_s)
 
-    def _send_next_request(self, previous: Call) -> None:
-        """Send the next request on the open flow of an earlier one, or on a new one."""
-        call = self._new_call(
-            previous.vm, previous.deadline_s, None, previous.think_time_s
-        )
-        if previous.flow_reset:
-            self._start_attempt(call)
-            return
-        call.port, call.token = previous.port, previous.token
-        call.sent, call.received = previous.sent, previous.received
-        self._calls_by_port[call.port] = call
-        self._send_request(call)
+    def _start_attempt(self, call: Call) -> None:
+        self._callers.start_attempt(call)
 
-    def _on_deadline(self, call: Call) -> None:
-        if not call.finished:
-            call.failed = True
-            self._calls_by_port.pop(call.port, None)
+    def _retry(self, call: Call) -> None:
+        self._callers.retry(call)
 
-    def _start_attempt(self, call: Call) -> None:
-        call.port = next(self._ports)
-        if call.domain is not None:
-            vms = [n for n, vm in enumerate(self.vms) if vm.domain == call.domain]
-            call.vm = self.rng.choice(vms)
-        call.token = call.sent = call.received = 0
-        self._calls_by_port[call.port] = call
-        port = call.port
-        self._send_opening(call, port, 0)
-        for copy, delay_s in enumerate(OPENING_SEND_OFFSETS_S[1:], start=1):
-            self.after(delay_s, partial(self._send_opening, call, port, copy))
-        self.after(OPENING_TIMEOUT_S, lambda: self._on_opening_timeout(call, port))
-
-    def _send_opening(self, call: Call, port: int, copy: int) -> None:
-        if call.port == port and not call.token and not call.finished:
-            opening = caller_packet(
-                port, SYN, call.target, src=call.host, acknowledged=copy
-            )
-            self._send_to_vm(call, opening)
+    def _send(self, call: Call, flags: int, data: bytes = b"") -> None:
+        self._callers.send(call, flags, data)
 
-    def _on_opening_timeout(self, call: Call, port: int) -> None:
-        if call.port != port or call.token or call.finished:
-            return
-        self._retry(call)
+    @property
+    def calls(self) -> list[Call]:
+        """All requests, in the order in which they were started."""
+        return self._callers.calls
 
-    def _retry(self, call: Call) -> None:
-        self._calls_by_port.pop(call.port, None)
-        call.attempt += 1
-        if call.attempt > MAX_RETRIES:
-            call.failed = True
-            return
-        self._start_attempt(call)
+    @property
+    def resets(self) -> int:
+        """Resets that callers got on flows of theirs."""
+        return self._callers.resets
 
-    def _note_reset(self, port: int) -> None:
-        """Record which upstream's flow a balancer resets, if it is open."""
-        call = self._calls_by_port.get(port)
-        if call is not None and call.token:
-            upstream = self.vms[call.vm].view.upstreams.by_token[call.token]
-            self.upstreams_of_reset_flows.append(upstream.name)
-
-    def _on_reset(self, port: int) -> None:
-        """Handle a reset that arrives at the port of a caller."""
-        call = self._calls_by_port.get(port)
-        if call is None:
-            return
-        self.resets += 1
-        if call.finished:
-            call.flow_reset = True
-        else:
-            self._retry(call)
+    @property
+    def upstreams_of_reset_flows(self) -> list[str]:
+        """The upstream of each open flow that a balancer has reset."""
+        return self._callers.upstreams_of_reset_flows
 
-    def _send(self, call: Call, flags: int, data: bytes = b"") -> None:
-        """Send a packet on an open flow."""
-        packet = caller_packet(
-            call.port,
-            flags,
-            call.target,
-            src=call.host,
-            sequence=call.sent,
-            acknowledged=call.received,
-            echo=call.token,
-            data=data,
-        )
-        call.sent += len(data)
-        self._send_to_vm(call, packet)
-
-    def _send_request(self, call: Call) -> None:
-        """Send a request; callers with open flows, or told to, retransmit it."""
-        call.reached_upstream = False
-        self._send(call, ACK, bytes(REQUEST_BYTES))
-        if call.think_time_s is None and not call.retransmits:
-            return
-        for delay_s in REQUEST_RETRANSMISSION_OFFSETS_S:
-            self.after(delay_s, partial(self._retransmit, call, call.port))
+    @property
+    def draw_service_time_s(self) -> Callable[[], float]:
+        """Returns the service time of a request for which none is given."""
+        return self._callers.draw_service_time_s
 
-    def _retransmit(self, call: Call, port: int) -> None:
-        if call.port == port and not call.finished:
-            call.sent -= REQUEST_BYTES
-            self._send(call, ACK, bytes(REQUEST_BYTES))
+    @draw_service_time_s.setter
+    def draw_service_time_s(self, draw: Callable[[], float]) -> None:
+        self._callers.draw_service_time_s = draw
+
+    @property
+    def _calls_by_port(self) -> dict[int, Call]:
+        return self._callers.calls_by_port
 
     def _send_to_vm(self, call: Call, packet: bytes) -> None:
         """Deliver a packet of a caller to its balancer."""
@@ -360,8 +270,8 @@
 
     def reset_to_caller(self, port: int) -> None:
         """Deliver a reset from a balancer to the port of a caller."""
-        self._note_reset(port)
-        self._links.after_caller_delay(lambda: self._on_reset(port))
+        self._callers.note_reset(port)
+        self._links.after_caller_delay(lambda: self._callers.on_reset(port))
 
     def gossip_age(self, domain: str, other: str) -> float:
         """Return the time since a domain's balancers heard of another domain's."""
@@ -379,11 +289,13 @@
             return
         received = Packet.decode(packet, INSTANCE_PREFIX.size)
         if upstream.port_closed:
-            self._links.after_caller_delay(lambda: self._on_reset(received.sport))
+            self._links.after_caller_delay(
+                lambda: self._callers.on_reset(received.sport)
+            )
         elif received.flags & SYN:
             upstream.openings += 1
             self._links.after_caller_delay(
-                lambda: self._on_opened(received.sport, received.echo)
+                lambda: self._callers.on_opened(received.sport, received.echo)
             )
         elif received.data and not received.flags & (FIN | RST):
             call = self._calls_by_port.get(received.sport)
@@ -391,13 +303,6 @@
                 call.reached_upstream = True
                 self._on_request(upstream, UpstreamRequest(call, received.sport))
 
-    def _on_opened(self, port: int, echo: int) -> None:
-        call = self._calls_by_port.get(port)
-        if call is None or call.finished or call.token:
-            return
-        call.token = echo
-        self._send_request(call)
-
     def _on_request(
         self, upstream: SimulatedUpstream, request: UpstreamRequest
     ) -> None:
@@ -416,27 +321,16 @@
         self, upstream: SimulatedUpstream, fault: AnswerFault, request: UpstreamRequest
     ) -> None:
         """Answer a request with a short error, or not at all."""
-        call = request.call
-        call.faults.append(upstream.record.name)
-
-        def on_error() -> None:
-            if call.port != request.port or call.finished:
-                return
-            call.received += fault.answer_bytes
-            self._send(call, FIN | ACK)
-            if call.target == TARGET:
-                self._retry(call)
-            else:
-                call.failed = True
-
+        request.call.faults.append(upstream.record.name)
         if not fault.hangs:
-            self._links.after_caller_delay(on_error, fault.service_s)
+            self._links.after_caller_delay(
+                lambda: self._callers.on_error(request, fault.answer_bytes),
+                fault.service_s,
+            )
 
     def _on_shed(self, request: UpstreamRequest) -> None:
-        call = request.call
-        if call.port == request.port and not call.finished:
-            self._send(call, FIN | ACK)
-            self._retry(call)
+        """Handle a refusal that arrives at a caller."""
+        self._callers.on_shed(request)
 
     def _start_request(
         self, upstream: SimulatedUpstream, request: UpstreamRequest
@@ -453,20 +347,7 @@
         if upstream.queue:
             self._start_request(upstream, upstream.queue.pop(0))
         if not upstream.unresponsive:
-            self._links.after_caller_delay(lambda: self._on_answer(request))
-
-    def _on_answer(self, request: UpstreamRequest) -> None:
-        call = request.call
-        if call.port != request.port or call.finished:
-            return
-        call.answered_at = self.now
-        call.received += call.answer_bytes
-        if call.think_time_s is None:
-            self._calls_by_port.pop(call.port, None)
-            self._send(call, FIN | ACK)
-            return
-        self._send(call, ACK)
-        self.after(call.think_time_s(), lambda: self._send_next_request(call))
+            self._links.after_caller_delay(lambda: self._callers.on_answer(request))
 
     # Results ---------------------------------------------------------------------
 
