Keep the behaviour of simulated upstreams in a module of their own

What upstreams do was mixed with how packets reach them. Slots, queues, refusals and faults move to emulator/flow_upstreams.py.

--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -1,8 +1,15 @@
 """Discrete-event simulation of forwarded flows.
 
 Real flow dispatchers, each with its own view of the configuration, exchange packets
-with simulated callers and upstreams over links with delays. An opening is the first
-packet of a flow. A run depends only on its seed.
+with simulated callers and upstreams over links with delays. A run depends only on its
+seed. `FlowWorld` connects the parts, each of which has a module of its own:
+
+- `flow_events`: virtual time;
+- `flow_links`: delays, losses, cuts and redirects;
+- `flow_balancers` and `flow_gossip`: the dispatchers and what they tell each other;
+- `flow_callers` and `flow_upstreams`: the behaviour of both ends, whose state is in
+  `flow_peers`;
+- `flow_results`: figures of the calls.
 """
 
 from __future__ import annotations
@@ -21,23 +28,16 @@
 from egrethook.emulator.flow_events import EventQueue
 from egrethook.emulator.flow_gossip import DomainGossip
 from egrethook.emulator.flow_links import Links
-from egrethook.emulator.flow_peers import (
-    AnswerFault,
-    Call,
-    SimulatedUpstream,
-    UpstreamRequest,
-)
+from egrethook.emulator.flow_peers import Call, SimulatedUpstream, UpstreamRequest
 from egrethook.emulator.flow_records import (
     SERVICE,
     SLOTS,
     InMemoryDecoder,
     route_table,
-    upstream_record,
 )
 from egrethook.emulator.flow_results import answered_share, mean_worth, on_time_share
-from egrethook.emulator.packets import Packet
+from egrethook.emulator.flow_upstreams import SimulatedUpstreams
 from egrethook.forwarding.features import Feature
-from egrethook.platform.packet_header import FIN, INSTANCE_PREFIX, RST, SYN
 from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.upstream import Upstream
 
@@ -46,7 +46,10 @@
 
 
 class FlowWorld:
-    """The simulation: event queue, balancers, upstreams and callers.
+    """The simulation: event queue, links, balancers, upstreams and callers.
+
+    Subclasses may override `passes`, `_send_to_vm`, `_on_upstream_packet`, `_on_shed`
+    and `_share_outlier`, through which the parts reach each other.
 
     Parameters
     ----------
@@ -93,49 +96,81 @@
         slow_start: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
+        self.table = route_table(objective_s=objective_s)
+        self.vms: list[SimulatedVm] = []
         self._shares_health = shares_health
         self._decoder = InMemoryDecoder()
         self._events = EventQueue()
         self._links = Links(
             self._events, self.rng, caller_delay_s, inter_domain_delay_s, loss_share
         )
-        self.vms: list[SimulatedVm] = []
         self._gossip = DomainGossip(self._events, self.vms)
         self._callers = SimulatedCallers(
             self._events, self.rng, self.vms, self._send_to_vm
         )
+        self._upstreams = SimulatedUpstreams(
+            self._events,
+            self.rng,
+            self._links,
+            self._callers,
+            # The hook is looked up at each refusal, so that it can be replaced later.
+            lambda request: self._on_shed(request),
+            UPSTREAM_QUEUE_LIMIT,
+        )
         self._balancers = BalancerBuilder(
             self, self._decoder, new_limit, features, slow_start
         )
-        self.table = route_table(objective_s=objective_s)
-        self.upstreams: dict[str, SimulatedUpstream] = {}
         self.vms.extend([self._new_vm(domain) for domain in domains])
         for vm in self.vms:
             self._tick(vm)
 
-    # Setup -----------------------------------------------------------------------
+    # State -----------------------------------------------------------------------
 
-    def _new_vm(self, domain: str) -> SimulatedVm:
-        vm = self._balancers.build(domain)
-        if self._shares_health:
-            vm.health.set_listener(partial(self._gossip.share_health, vm))
-            if vm.outliers is not None:
-                vm.outliers.set_listener(partial(self._share_outlier, vm))
-        return vm
+    @property
+    def now(self) -> float:
+        """Virtual time, in seconds."""
+        return self._events.now
 
-    def _share_outlier(
-        self, sender: SimulatedVm, upstream: Upstream, is_outlier: bool
-    ) -> None:
-        """Report what a balancer sees of an upstream's answers to its domain."""
-        self._gossip.share_outlier(sender, upstream, is_outlier)
+    @property
+    def upstreams(self) -> dict[str, SimulatedUpstream]:
+        """All upstreams by name."""
+        return self._upstreams.by_name
+
+    @property
+    def calls(self) -> list[Call]:
+        """All requests, in the order in which they were started."""
+        return self._callers.calls
+
+    @property
+    def resets(self) -> int:
+        """Resets that callers got on flows of theirs."""
+        return self._callers.resets
+
+    @property
+    def upstreams_of_reset_flows(self) -> list[str]:
+        """The upstream of each open flow that a balancer has reset."""
+        return self._callers.upstreams_of_reset_flows
+
+    @property
+    def draw_service_time_s(self) -> Callable[[], float]:
+        """Returns the service time of a request for which none is given."""
+        return self._callers.draw_service_time_s
+
+    @draw_service_time_s.setter
+    def draw_service_time_s(self, draw: Callable[[], float]) -> None:
+        self._callers.draw_service_time_s = draw
+
+    @property
+    def _calls_by_port(self) -> dict[int, Call]:
+        return self._callers.calls_by_port
+
+    # Setup -----------------------------------------------------------------------
 
     def add_upstream(
         self, name: str, domain: str, slots: int = SLOTS, service: str = SERVICE
     ) -> SimulatedUpstream:
         """Add an upstream without publishing it to the balancers."""
-        record = upstream_record(name, domain, slots=slots, service=service)
-        self.upstreams[name] = SimulatedUpstream(record)
-        return self.upstreams[name]
+        return self._upstreams.add(name, domain, slots, service)
 
     def publish(self, vm: SimulatedVm, revision: int = 1) -> None:
         """Publish the configuration and all upstreams to a balancer."""
@@ -147,12 +182,15 @@
             items.append(PublishedItem(ItemKind.UPSTREAM, name, revision, value))
         vm.view.update(items, self.now)
 
-    # Time ------------------------------------------------------------------------
+    def _new_vm(self, domain: str) -> SimulatedVm:
+        vm = self._balancers.build(domain)
+        if self._shares_health:
+            vm.health.set_listener(partial(self._gossip.share_health, vm))
+            if vm.outliers is not None:
+                vm.outliers.set_listener(partial(self._share_outlier, vm))
+        return vm
 
-    @property
-    def now(self) -> float:
-        """Virtual time, in seconds."""
-        return self._events.now
+    # Time ------------------------------------------------------------------------
 
     def after(self, delay_s: float, action: Callable[[], None]) -> None:
         """Schedule an action."""
@@ -166,6 +204,8 @@
         vm.tick(self.now)
         self.after(TICK_INTERVAL_S, lambda: self._tick(vm))
 
+    # Faults ----------------------------------------------------------------------
+
     def pause(self, vm: SimulatedVm, duration_s: float) -> None:
         """Stop a balancer for a while; packets wait at its socket."""
         vm.paused = True
@@ -179,7 +219,7 @@
         """Hand the packets of a balancer's callers to another one for a while."""
         self._links.redirect(vm, other, duration_s)
 
-    # Callers ---------------------------------------------------------------------
+    # Calls -----------------------------------------------------------------------
 
     def call_domain(self, domain: str) -> Call:
         """Start a request; each attempt uses a random balancer of a failure domain."""
@@ -200,59 +240,7 @@
         self._start_attempt(call)
         return call
 
-    def _new_call(
-        self,
-        vm: int,
-        deadline_s: float,
-        service_time_s: float | None,
-        think_time_s: Callable[[], float] | None,
-    ) -> Call:
-        return self._callers.new_call(vm, deadline_s, service_time_s, think_time_s)
-
-    def _start_attempt(self, call: Call) -> None:
-        self._callers.start_attempt(call)
-
-    def _retry(self, call: Call) -> None:
-        self._callers.retry(call)
-
-    def _send(self, call: Call, flags: int, data: bytes = b"") -> None:
-        self._callers.send(call, flags, data)
-
-    @property
-    def calls(self) -> list[Call]:
-        """All requests, in the order in which they were started."""
-        return self._callers.calls
-
-    @property
-    def resets(self) -> int:
-        """Resets that callers got on flows of theirs."""
-        return self._callers.resets
-
-    @property
-    def upstreams_of_reset_flows(self) -> list[str]:
-        """The upstream of each open flow that a balancer has reset."""
-        return self._callers.upstreams_of_reset_flows
-
-    @property
-    def draw_service_time_s(self) -> Callable[[], float]:
-        """Returns the service time of a request for which none is given."""
-        return self._callers.draw_service_time_s
-
-    @draw_service_time_s.setter
-    def draw_service_time_s(self, draw: Callable[[], float]) -> None:
-        self._callers.draw_service_time_s = draw
-
-    @property
-    def _calls_by_port(self) -> dict[int, Call]:
-        return self._callers.calls_by_port
-
-    def _send_to_vm(self, call: Call, packet: bytes) -> None:
-        """Deliver a packet of a caller to its balancer."""
-        vm = self.vms[self._links.receiver(call.vm)]
-        if not self._links.loses_packet():
-            self._links.after_caller_delay(lambda: vm.receive(packet, self.now))
-
-    # Upstreams -------------------------------------------------------------------
+    # The network of the balancers ------------------------------------------------
 
     def passes(self, vm: int, upstream: str) -> bool:
         """Return whether packets of a balancer reach an upstream; see subclasses."""
@@ -281,73 +269,47 @@
         """Return the number of balancers that are up."""
         return sum(vm.up for vm in self.vms)
 
+    # Hooks -----------------------------------------------------------------------
+
+    def _send_to_vm(self, call: Call, packet: bytes) -> None:
+        """Deliver a packet of a caller to its balancer."""
+        vm = self.vms[self._links.receiver(call.vm)]
+        if not self._links.loses_packet():
+            self._links.after_caller_delay(lambda: vm.receive(packet, self.now))
+
     def _on_upstream_packet(self, upstream: SimulatedUpstream, packet: bytes) -> None:
-        if upstream.unresponsive:
-            return
-        instance = INSTANCE_PREFIX.unpack_from(packet)[0]
-        if instance not in (0, upstream.record.instance):
-            return
-        received = Packet.decode(packet, INSTANCE_PREFIX.size)
-        if upstream.port_closed:
-            self._links.after_caller_delay(
-                lambda: self._callers.on_reset(received.sport)
-            )
-        elif received.flags & SYN:
-            upstream.openings += 1
-            self._links.after_caller_delay(
-                lambda: self._callers.on_opened(received.sport, received.echo)
-            )
-        elif received.data and not received.flags & (FIN | RST):
-            call = self._calls_by_port.get(received.sport)
-            if call is not None and not call.reached_upstream:
-                call.reached_upstream = True
-                self._on_request(upstream, UpstreamRequest(call, received.sport))
-
-    def _on_request(
-        self, upstream: SimulatedUpstream, request: UpstreamRequest
-    ) -> None:
-        fault = upstream.fault
-        if fault is not None and self.rng.random() < fault.share:
-            self._fail_request(upstream, fault, request)
-        elif upstream.busy_slots < upstream.record.slots:
-            self._start_request(upstream, request)
-        elif len(upstream.queue) < UPSTREAM_QUEUE_LIMIT:
-            upstream.queue.append(request)
-        else:
-            upstream.shed += 1
-            self._links.after_caller_delay(lambda: self._on_shed(request))
-
-    def _fail_request(
-        self, upstream: SimulatedUpstream, fault: AnswerFault, request: UpstreamRequest
-    ) -> None:
-        """Answer a request with a short error, or not at all."""
-        request.call.faults.append(upstream.record.name)
-        if not fault.hangs:
-            self._links.after_caller_delay(
-                lambda: self._callers.on_error(request, fault.answer_bytes),
-                fault.service_s,
-            )
+        """Handle a packet that arrives at an upstream."""
+        self._upstreams.receive(upstream, packet)
 
     def _on_shed(self, request: UpstreamRequest) -> None:
         """Handle a refusal that arrives at a caller."""
         self._callers.on_shed(request)
 
-    def _start_request(
-        self, upstream: SimulatedUpstream, request: UpstreamRequest
+    def _share_outlier(
+        self, sender: SimulatedVm, upstream: Upstream, is_outlier: bool
     ) -> None:
-        upstream.busy_slots += 1
-        upstream.started += 1
-        duration_s = request.call.service_time_s * upstream.slow_factor
-        self.after(duration_s, lambda: self._finish_request(upstream, request))
+        """Report what a balancer sees of an upstream's answers to its domain."""
+        self._gossip.share_outlier(sender, upstream, is_outlier)
 
-    def _finish_request(
-        self, upstream: SimulatedUpstream, request: UpstreamRequest
-    ) -> None:
-        upstream.busy_slots -= 1
-        if upstream.queue:
-            self._start_request(upstream, upstream.queue.pop(0))
-        if not upstream.unresponsive:
-            self._links.after_caller_delay(lambda: self._callers.on_answer(request))
+    # Steps of a call, for subclasses and replaced hooks --------------------------
+
+    def _new_call(
+        self,
+        vm: int,
+        deadline_s: float,
+        service_time_s: float | None,
+        think_time_s: Callable[[], float] | None,
+    ) -> Call:
+        return self._callers.new_call(vm, deadline_s, service_time_s, think_time_s)
+
+    def _start_attempt(self, call: Call) -> None:
+        self._callers.start_attempt(call)
+
+    def _retry(self, call: Call) -> None:
+        self._callers.retry(call)
+
+    def _send(self, call: Call, flags: int, data: bytes = b"") -> None:
+        self._callers.send(call, flags, data)
 
     # Results ---------------------------------------------------------------------
 
