--- a/egrethook/emulator/flow_world.py
+++ b/egrethook/emulator/flow_world.py
@@ -1,128 +1,55 @@
 """Discrete-event simulation of forwarded flows.
 
 Real flow dispatchers, each with its own view of the configuration, exchange packets
-with simulated callers and upstreams over links with delays. An opening is the first
-packet of a flow. A run depends only on its seed.
+with simulated callers and upstreams over links with delays. A run depends only on its
+seed. `FlowWorld` connects the parts, each of which has a module of its own:
+
+- `flow_events`: virtual time;
+- `flow_links`: delays, losses, cuts and redirects;
+- `flow_balancers` and `flow_gossip`: the dispatchers and what they tell each other;
+- `flow_callers` and `flow_upstreams`: the behaviour of both ends, whose state is in
+  `flow_peers`;
+- `flow_results`: figures of the calls.
 """
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
 from functools import partial
 
-from egrethook.callers.flow_dispatch import FlowDispatcher
-from egrethook.callers.forwarded_flow import OPENING_SEND_OFFSETS_S, OPENING_TIMEOUT_S
-from egrethook.callers.segments import IPv4Endpoint
-from egrethook.discovery.records import (
-    ItemKind,
-    PublishedItem,
-    RouteTable,
-    UpstreamRecord,
-)
-from egrethook.discovery.view import ForwardingView
-from egrethook.emulator.flow_peers import (
-    AnswerFault,
-    Call,
-    SimulatedUpstream,
-    UpstreamRequest,
+from egrethook.discovery.records import ItemKind, PublishedItem
+from egrethook.emulator.flow_balancers import (
+    BalancerBuilder,
+    SimulatedVm,
+    default_limit,
 )
+from egrethook.emulator.flow_callers import SimulatedCallers
+from egrethook.emulator.flow_events import EventQueue
+from egrethook.emulator.flow_gossip import DomainGossip
+from egrethook.emulator.flow_links import Links
+from egrethook.emulator.flow_peers import Call, SimulatedUpstream, UpstreamRequest
 from egrethook.emulator.flow_records import (
-    CALLER_HOST,
     SERVICE,
     SLOTS,
-    TARGET,
     InMemoryDecoder,
-    NoColdLimit,
-    caller_packet,
     route_table,
-    upstream_record,
-)
-from egrethook.emulator.packets import Packet
-from egrethook.forwarding.data_path import (
-    CostAwarePlacement,
-    DataPath,
-    build_data_path,
 )
+from egrethook.emulator.flow_results import answered_share, mean_worth, on_time_share
+from egrethook.emulator.flow_upstreams import SimulatedUpstreams
 from egrethook.forwarding.features import Feature
-from egrethook.platform.packet_header import (
-    ACK,
-    FIN,
-    INSTANCE_PREFIX,
-    RST,
-    SYN,
-    PacketHeader,
-)
-from egrethook.upstreams.flow_limit import AimdFlowLimit, FlowLimit
-from egrethook.upstreams.health import HealthObservation, PassiveHealth
-from egrethook.upstreams.outliers import OutlierDetector
-from egrethook.upstreams.subsets import PreferredSubsets
+from egrethook.upstreams.flow_limit import FlowLimit
 from egrethook.upstreams.upstream import Upstream
 
 TICK_INTERVAL_S = 0.01
-INTRA_DOMAIN_DELAY_S = 0.0001
-MAX_RETRIES = 2
 UPSTREAM_QUEUE_LIMIT = 8
-INITIAL_FLOW_LIMIT = 2
-CALLER_COUNT = 80
-REQUEST_BYTES = 168
-REQUEST_RETRANSMISSION_OFFSETS_S = (0.2, 0.6, 1.4)
-
-
-class _SimulatedPacketPort:
-    """Passes the packets of a dispatcher to the simulation."""
-
-    def __init__(self, world: FlowWorld, domain: str, vm: int) -> None:
-        self._world = world
-        self._domain = domain
-        self._vm = vm
-
-    def to_upstream(self, address: tuple[str, int], packet: bytes) -> None:
-        """Send a packet to an upstream."""
-        if self._world.is_cut_off(self._domain, address[0]):
-            return
-        if self._world.passes(self._vm, address[0]):
-            self._world.packet_to_upstream(self._domain, address[0], packet)
-
-    def to_caller(self, caller: IPv4Endpoint, packet: bytes) -> None:
-        """Reset the caller; the only packets sent to callers are resets."""
-        self._world.note_reset(caller[1])
-        self._world.after(
-            self._world.caller_delay_s, lambda: self._world.on_reset(caller[1])
-        )
-
-
-@dataclass
-class SimulatedVm:
-    """A balancer with its dispatcher and its view of the configuration.
-
-    A balancer that is not `up` drops all packets; one that is `paused` handles them
-    when it goes on.
-    """
-
-    domain: str
-    view: ForwardingView
-    dispatcher: FlowDispatcher
-    health: PassiveHealth
-    outliers: OutlierDetector | None = None
-    name: str = ""
-    up: bool = True
-    paused: bool = False
-    subsets: PreferredSubsets | None = None
-    waiting_packets: list[bytes] = field(default_factory=list)
-    cost_aware: CostAwarePlacement | None = None
-    data_path: DataPath | None = None
-
-
-def _default_limit() -> FlowLimit:
-    return AimdFlowLimit(INITIAL_FLOW_LIMIT)
 
 
 class FlowWorld:
-    """The simulation: event queue, balancers, upstreams and callers.
+    """The simulation: event queue, links, balancers, upstreams and callers.
+
+    Subclasses may override `passes`, `_send_to_vm`, `_on_upstream_packet`, `_on_shed`
+    and `_share_outlier`, through which the parts reach each other.
 
     Parameters
     ----------
@@ -147,12 +74,12 @@
 
     Attributes
     ----------
+    rng : random.Random
+        The source of all random choices.
     table : RouteTable
         The routes that `publish` publishes.
-    resets : int
-        Resets that callers got on flows of theirs.
-    upstreams_of_reset_flows : list of str
-        The upstream of each open flow that a balancer has reset.
+    vms : list of SimulatedVm
+        The balancers by number.
     """
 
     def __init__(
@@ -161,7 +88,7 @@
         domains: tuple[str, ...],
         caller_delay_s: float = 0.003,
         inter_domain_delay_s: float = 0.003,
-        new_limit: Callable[[], FlowLimit] = _default_limit,
+        new_limit: Callable[[], FlowLimit] = default_limit,
         shares_health: bool = True,
         loss_share: float = 0.0,
         features: Collection[Feature] = (),
@@ -169,186 +96,134 @@
         slow_start: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
-        self.caller_delay_s = caller_delay_s
-        self._inter_domain_delay_s = inter_domain_delay_s
-        self._new_limit = new_limit
-        self._shares_health = shares_health
-        self._loss_share = loss_share
-        self._features = features
-        self._slow_start = slow_start
-        self.draw_service_time_s = lambda: self.rng.uniform(0.012, 0.035)
-        self.now = 0.0
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._event_numbers = itertools.count()
-        self._ports = itertools.count(1024)
-        self.decoder = InMemoryDecoder()
         self.table = route_table(objective_s=objective_s)
-        self.upstreams: dict[str, SimulatedUpstream] = {}
-        self.calls: list[Call] = []
-        self.resets = 0
-        self.upstreams_of_reset_flows: list[str] = []
-        self._calls_by_port: dict[int, Call] = {}
-        self._redirects: dict[int, int] = {}
-        self._cut_at: dict[frozenset[str], float] = {}
-        self._vm_numbers = itertools.count()
-        self.vms = [self._new_vm(domain) for domain in domains]
+        self.vms: list[SimulatedVm] = []
+        self._shares_health = shares_health
+        self._decoder = InMemoryDecoder()
+        self._events = EventQueue()
+        self._links = Links(
+            self._events, self.rng, caller_delay_s, inter_domain_delay_s, loss_share
+        )
+        self._gossip = DomainGossip(self._events, self.vms)
+        self._callers = SimulatedCallers(
+            self._events, self.rng, self.vms, self._send_to_vm
+        )
+        self._upstreams = SimulatedUpstreams(
+            self._events,
+            self.rng,
+            self._links,
+            self._callers,
+            # The hook is looked up at each refusal, so that it can be replaced later.
+            lambda request: self._on_shed(request),
+            UPSTREAM_QUEUE_LIMIT,
+        )
+        self._balancers = BalancerBuilder(
+            self, self._decoder, new_limit, features, slow_start
+        )
+        self.vms.extend([self._new_vm(domain) for domain in domains])
         for vm in self.vms:
             self._tick(vm)
 
-    # Setup -----------------------------------------------------------------------
+    # State -----------------------------------------------------------------------
 
-    def _new_vm(self, domain: str) -> SimulatedVm:
-        view = ForwardingView(self.decoder, flow_life_s=60.0)
-        limit = self._new_limit()
-        number = next(self._vm_numbers)
-        name = f"vm-{number}"
-        data_path = build_data_path(
-            name,
-            domain,
-            self._features,
-            view,
-            PacketHeader(),
-            _SimulatedPacketPort(self, domain, number),
-            limit,
-            NoColdLimit(),
-            self._live_balancers if self._slow_start else None,
-        )
-        data_path.dispatcher.view_is_fresh = True
-        health, outliers = data_path.health, data_path.outliers
-        vm = SimulatedVm(
-            domain,
-            view,
-            data_path.dispatcher,
-            health,
-            outliers,
-            name,
-            subsets=data_path.subsets,
-            cost_aware=data_path.cost_aware,
-            data_path=data_path,
-        )
-        health.set_gossip_age(partial(self._gossip_age, domain))
-        if self._shares_health:
-            health.set_listener(partial(self._share_health, vm))
-            if outliers is not None:
-                outliers.set_listener(partial(self._share_outlier, vm))
-        return vm
+    @property
+    def now(self) -> float:
+        """Virtual time, in seconds."""
+        return self._events.now
 
-    def _share_outlier(
-        self, sender: SimulatedVm, upstream: Upstream, is_outlier: bool
-    ) -> None:
-        """Report what a balancer sees of an upstream's answers to its domain."""
+    @property
+    def upstreams(self) -> dict[str, SimulatedUpstream]:
+        """All upstreams by name."""
+        return self._upstreams.by_name
 
-        def arrive() -> None:
-            for vm in self.vms:
-                known = vm.view.upstreams.get(upstream.name)
-                if vm is sender or vm.domain != sender.domain or known is None:
-                    continue
-                if vm.outliers is not None:
-                    vm.outliers.note_report(known, is_outlier, sender.name, self.now)
+    @property
+    def calls(self) -> list[Call]:
+        """All requests, in the order in which they were started."""
+        return self._callers.calls
 
-        self.after(INTRA_DOMAIN_DELAY_S, arrive)
+    @property
+    def resets(self) -> int:
+        """Resets that callers got on flows of theirs."""
+        return self._callers.resets
 
-    def _live_balancers(self) -> int:
-        return sum(vm.up for vm in self.vms)
+    @property
+    def upstreams_of_reset_flows(self) -> list[str]:
+        """The upstream of each open flow that a balancer has reset."""
+        return self._callers.upstreams_of_reset_flows
 
-    def _share_health(
-        self, sender: SimulatedVm, upstream: Upstream, observation: HealthObservation
-    ) -> None:
-        """Report a health observation to the other balancers of the domain."""
-        name = upstream.name
+    @property
+    def draw_service_time_s(self) -> Callable[[], float]:
+        """Returns the service time of a request for which none is given."""
+        return self._callers.draw_service_time_s
 
-        def arrive() -> None:
-            for vm in self.vms:
-                if vm is not sender and vm.domain == sender.domain:
-                    known = vm.view.upstreams.get(name)
-                    if known is not None:
-                        vm.health.note_report(known, observation, self.now)
+    @draw_service_time_s.setter
+    def draw_service_time_s(self, draw: Callable[[], float]) -> None:
+        self._callers.draw_service_time_s = draw
 
-        self.after(INTRA_DOMAIN_DELAY_S, arrive)
+    @property
+    def _calls_by_port(self) -> dict[int, Call]:
+        return self._callers.calls_by_port
+
+    # Setup -----------------------------------------------------------------------
 
     def add_upstream(
         self, name: str, domain: str, slots: int = SLOTS, service: str = SERVICE
     ) -> SimulatedUpstream:
         """Add an upstream without publishing it to the balancers."""
-        record = upstream_record(name, domain, slots=slots, service=service)
-        self.upstreams[name] = SimulatedUpstream(record)
-        return self.upstreams[name]
+        return self._upstreams.add(name, domain, slots, service)
 
     def publish(self, vm: SimulatedVm, revision: int = 1) -> None:
         """Publish the configuration and all upstreams to a balancer."""
-        items = [PublishedItem(ItemKind.ROUTES, "", revision, self._encode(self.table))]
+        routes = self._decoder.encode(self.table)
+        items = [PublishedItem(ItemKind.ROUTES, "", revision, routes)]
         for upstream in self.upstreams.values():
-            value = self._encode(upstream.record)
+            value = self._decoder.encode(upstream.record)
             name = upstream.record.name
             items.append(PublishedItem(ItemKind.UPSTREAM, name, revision, value))
         vm.view.update(items, self.now)
 
-    def _encode(self, record: UpstreamRecord | RouteTable) -> bytes:
-        return self.decoder.encode(record)
+    def _new_vm(self, domain: str) -> SimulatedVm:
+        vm = self._balancers.build(domain)
+        if self._shares_health:
+            vm.health.set_listener(partial(self._gossip.share_health, vm))
+            if vm.outliers is not None:
+                vm.outliers.set_listener(partial(self._share_outlier, vm))
+        return vm
 
     # Time ------------------------------------------------------------------------
 
     def after(self, delay_s: float, action: Callable[[], None]) -> None:
         """Schedule an action."""
-        event = (self.now + delay_s, next(self._event_numbers), action)
-        heapq.heappush(self._events, event)
+        self._events.after(delay_s, action)
 
     def run(self, until: float) -> None:
         """Process all events up to a time."""
-        while self._events and self._events[0][0] <= until:
-            self.now, _, action = heapq.heappop(self._events)
-            action()
-        self.now = until
+        self._events.run(until)
 
     def _tick(self, vm: SimulatedVm) -> None:
-        if vm.up and not vm.paused:
-            vm.dispatcher.tick(self.now)
-            vm.view.upstreams.expire(self.now)
+        vm.tick(self.now)
         self.after(TICK_INTERVAL_S, lambda: self._tick(vm))
 
+    # Faults ----------------------------------------------------------------------
+
     def pause(self, vm: SimulatedVm, duration_s: float) -> None:
         """Stop a balancer for a while; packets wait at its socket."""
         vm.paused = True
-        self.after(duration_s, partial(self._resume, vm))
+        self.after(duration_s, lambda: vm.resume(self.now))
 
     def cut(self, domain: str, other: str) -> None:
         """Let no packet and no gossip pass between two failure domains any more."""
-        self._cut_at[frozenset((domain, other))] = self.now
-
-    def is_cut_off(self, domain: str, upstream: str) -> bool:
-        """Return whether a domain's balancers can't reach an upstream."""
-        other = self.upstreams[upstream].record.failure_domain
-        return frozenset((domain, other)) in self._cut_at
-
-    def _gossip_age(self, domain: str, other: str) -> float:
-        """Return the time since a domain's balancers heard of another domain's."""
-        cut_at = self._cut_at.get(frozenset((domain, other)), self.now)
-        return self.now - cut_at
+        self._links.cut(domain, other)
 
     def redirect(self, vm: int, other: int, duration_s: float) -> None:
         """Hand the packets of a balancer's callers to another one for a while."""
-        self._redirects[vm] = other
-
-        def end() -> None:
-            self._redirects.pop(vm, None)
-
-        self.after(duration_s, end)
-
-    def _resume(self, vm: SimulatedVm) -> None:
-        vm.paused = False
-        packets, vm.waiting_packets = vm.waiting_packets, []
-        for packet in packets:
-            vm.dispatcher.handle(packet, self.now)
-        vm.dispatcher.tick(self.now)
+        self._links.redirect(vm, other, duration_s)
 
-    # Callers ---------------------------------------------------------------------
+    # Calls -----------------------------------------------------------------------
 
     def call_domain(self, domain: str) -> Call:
         """Start a request; each attempt uses a random balancer of a failure domain."""
-        call = self._new_call(0, 2.0, None, None)
-        call.domain = domain
-        self._start_attempt(call)
-        return call
+        return self.call(0, domain=domain)
 
     def call(
         self,
@@ -365,264 +240,89 @@
         self._start_attempt(call)
         return call
 
-    def _new_call(
-        self,
-        vm: int,
-        deadline_s: float,
-        service_time_s: float | None,
-        think_time_s: Callable[[], float] | None,
-    ) -> Call:
-        if service_time_s is None:
-            service_time_s = self.draw_service_time_s()
-        number = len(self.calls)
-        host = CALLER_HOST + number % CALLER_COUNT
-        call = Call(
-            number, vm, host, self.now, deadline_s, service_time_s, think_time_s
-        )
-        self.calls.append(call)
-        self.after(deadline_s, lambda: self._on_deadline(call))
-        return call
+    # The network of the balancers ------------------------------------------------
 
-    def _send_next_request(self, previous: Call) -> None:
-        """Send the next request on the open flow of an earlier one, or on a new one."""
-        call = self._new_call(
-            previous.vm, previous.deadline_s, None, previous.think_time_s
-        )
-        if previous.flow_reset:
-            self._start_attempt(call)
-            return
-        call.port, call.token = previous.port, previous.token
-        call.sent, call.received = previous.sent, previous.received
-        self._calls_by_port[call.port] = call
-        self._send_request(call)
-
-    def _on_deadline(self, call: Call) -> None:
-        if not call.finished:
-            call.failed = True
-            self._calls_by_port.pop(call.port, None)
+    def passes(self, vm: int, upstream: str) -> bool:
+        """Return whether packets of a balancer reach an upstream; see subclasses."""
+        return True
 
-    def _start_attempt(self, call: Call) -> None:
-        call.port = next(self._ports)
-        if call.domain is not None:
-            vms = [n for n, vm in enumerate(self.vms) if vm.domain == call.domain]
-            call.vm = self.rng.choice(vms)
-        call.token = call.sent = call.received = 0
-        self._calls_by_port[call.port] = call
-        port = call.port
-        self._send_opening(call, port, 0)
-        for copy, delay_s in enumerate(OPENING_SEND_OFFSETS_S[1:], start=1):
-            self.after(delay_s, partial(self._send_opening, call, port, copy))
-        self.after(OPENING_TIMEOUT_S, lambda: self._on_opening_timeout(call, port))
-
-    def _send_opening(self, call: Call, port: int, copy: int) -> None:
-        if call.port == port and not call.token and not call.finished:
-            opening = caller_packet(
-                port, SYN, call.target, src=call.host, acknowledged=copy
-            )
-            self._send_to_vm(call, opening)
-
-    def _on_opening_timeout(self, call: Call, port: int) -> None:
-        if call.port != port or call.token or call.finished:
+    def packet_to_upstream(self, domain: str, name: str, packet: bytes) -> None:
+        """Deliver a packet from a balancer to an upstream after the link delay."""
+        upstream = self.upstreams[name]
+        other = upstream.record.failure_domain
+        if self._links.is_cut(domain, other):
             return
-        self._retry(call)
+        self._links.after_domain_delay(
+            domain,
+            other,
+            lambda: self._on_upstream_packet(upstream, packet),
+        )
 
-    def _retry(self, call: Call) -> None:
-        self._calls_by_port.pop(call.port, None)
-        call.attempt += 1
-        if call.attempt > MAX_RETRIES:
-            call.failed = True
-            return
-        self._start_attempt(call)
+    def reset_to_caller(self, port: int) -> None:
+        """Deliver a reset from a balancer to the port of a caller."""
+        self._callers.note_reset(port)
+        self._links.after_caller_delay(lambda: self._callers.on_reset(port))
 
-    def note_reset(self, port: int) -> None:
-        """Record which upstream's flow a balancer resets, if it is open."""
-        call = self._calls_by_port.get(port)
-        if call is not None and call.token:
-            upstream = self.vms[call.vm].view.upstreams.by_token[call.token]
-            self.upstreams_of_reset_flows.append(upstream.name)
-
-    def on_reset(self, port: int) -> None:
-        """Handle a reset that arrives at the port of a caller."""
-        call = self._calls_by_port.get(port)
-        if call is None:
-            return
-        self.resets += 1
-        if call.finished:
-            call.flow_reset = True
-        else:
-            self._retry(call)
+    def gossip_age(self, domain: str, other: str) -> float:
+        """Return the time since a domain's balancers heard of another domain's."""
+        return self._links.gossip_age(domain, other)
 
-    def _send(self, call: Call, flags: int, data: bytes = b"") -> None:
-        """Send a packet on an open flow."""
-        packet = caller_packet(
-            call.port,
-            flags,
-            call.target,
-            src=call.host,
-            sequence=call.sent,
-            acknowledged=call.received,
-            echo=call.token,
-            data=data,
-        )
-        call.sent += len(data)
-        self._send_to_vm(call, packet)
-
-    def _send_request(self, call: Call) -> None:
-        """Send a request; callers with open flows, or told to, retransmit it."""
-        call.reached_upstream = False
-        self._send(call, ACK, bytes(REQUEST_BYTES))
-        if call.think_time_s is None and not call.retransmits:
-            return
-        for delay_s in REQUEST_RETRANSMISSION_OFFSETS_S:
-            self.after(delay_s, partial(self._retransmit, call, call.port))
+    def live_balancers(self) -> int:
+        """Return the number of balancers that are up."""
+        return sum(vm.up for vm in self.vms)
 
-    def _retransmit(self, call: Call, port: int) -> None:
-        if call.port == port and not call.finished:
-            call.sent -= REQUEST_BYTES
-            self._send(call, ACK, bytes(REQUEST_BYTES))
+    # Hooks -----------------------------------------------------------------------
 
     def _send_to_vm(self, call: Call, packet: bytes) -> None:
-        vm = self.vms[self._redirects.get(call.vm, call.vm)]
-        if self._loss_share and self.rng.random() < self._loss_share:
-            return
-
-        def arrive() -> None:
-            if vm.paused:
-                vm.waiting_packets.append(packet)
-            elif vm.up:
-                vm.dispatcher.handle(packet, self.now)
+        """Deliver a packet of a caller to its balancer."""
+        vm = self.vms[self._links.receiver(call.vm)]
+        if not self._links.loses_packet():
+            self._links.after_caller_delay(lambda: vm.receive(packet, self.now))
 
-        self.after(self.caller_delay_s, arrive)
-
-    # Upstreams -------------------------------------------------------------------
+    def _on_upstream_packet(self, upstream: SimulatedUpstream, packet: bytes) -> None:
+        """Handle a packet that arrives at an upstream."""
+        self._upstreams.receive(upstream, packet)
 
-    def passes(self, vm: int, upstream: str) -> bool:
-        """Return whether packets of a balancer reach an upstream; see subclasses."""
-        return True
+    def _on_shed(self, request: UpstreamRequest) -> None:
+        """Handle a refusal that arrives at a caller."""
+        self._callers.on_shed(request)
 
-    def packet_to_upstream(self, domain: str, name: str, packet: bytes) -> None:
-        """Deliver a packet from a balancer to an upstream after the link delay."""
-        upstream = self.upstreams[name]
-        delay_s = INTRA_DOMAIN_DELAY_S
-        if upstream.record.failure_domain != domain:
-            delay_s += self._inter_domain_delay_s
-        self.after(delay_s, lambda: self._on_upstream_packet(upstream, packet))
+    def _share_outlier(
+        self, sender: SimulatedVm, upstream: Upstream, is_outlier: bool
+    ) -> None:
+        """Report what a balancer sees of an upstream's answers to its domain."""
+        self._gossip.share_outlier(sender, upstream, is_outlier)
 
-    def _on_upstream_packet(self, upstream: SimulatedUpstream, packet: bytes) -> None:
-        if upstream.unresponsive:
-            return
-        instance = INSTANCE_PREFIX.unpack_from(packet)[0]
-        if instance not in (0, upstream.record.instance):
-            return
-        received = Packet.decode(packet, INSTANCE_PREFIX.size)
-        if upstream.port_closed:
-            self.after(self.caller_delay_s, lambda: self.on_reset(received.sport))
-        elif received.flags & SYN:
-            upstream.openings += 1
-            self.after(
-                self.caller_delay_s,
-                lambda: self._on_opened(received.sport, received.echo),
-            )
-        elif received.data and not received.flags & (FIN | RST):
-            call = self._calls_by_port.get(received.sport)
-            if call is not None and not call.reached_upstream:
-                call.reached_upstream = True
-                self._on_request(upstream, UpstreamRequest(call, received.sport))
-
-    def _on_opened(self, port: int, echo: int) -> None:
-        call = self._calls_by_port.get(port)
-        if call is None or call.finished or call.token:
-            return
-        call.token = echo
-        self._send_request(call)
+    # Steps of a call, for subclasses and replaced hooks --------------------------
 
-    def _on_request(
-        self, upstream: SimulatedUpstream, request: UpstreamRequest
-    ) -> None:
-        fault = upstream.fault
-        if fault is not None and self.rng.random() < fault.share:
-            self._fail_request(upstream, fault, request)
-        elif upstream.busy_slots < upstream.record.slots:
-            self._start_request(upstream, request)
-        elif len(upstream.queue) < UPSTREAM_QUEUE_LIMIT:
-            upstream.queue.append(request)
-        else:
-            upstream.shed += 1
-            self.after(self.caller_delay_s, lambda: self._on_shed(request))
-
-    def _fail_request(
-        self, upstream: SimulatedUpstream, fault: AnswerFault, request: UpstreamRequest
-    ) -> None:
-        """Answer a request with a short error, or not at all."""
-        call = request.call
-        call.faults.append(upstream.record.name)
-
-        def on_error() -> None:
-            if call.port != request.port or call.finished:
-                return
-            call.received += fault.answer_bytes
-            self._send(call, FIN | ACK)
-            if call.target == TARGET:
-                self._retry(call)
-            else:
-                call.failed = True
-
-        if not fault.hangs:
-            self.after(fault.service_s + self.caller_delay_s, on_error)
+    def _new_call(
+        self,
+        vm: int,
+        deadline_s: float,
+        service_time_s: float | None,
+        think_time_s: Callable[[], float] | None,
+    ) -> Call:
+        return self._callers.new_call(vm, deadline_s, service_time_s, think_time_s)
 
-    def _on_shed(self, request: UpstreamRequest) -> None:
-        call = request.call
-        if call.port == request.port and not call.finished:
-            self._send(call, FIN | ACK)
-            self._retry(call)
+    def _start_attempt(self, call: Call) -> None:
+        self._callers.start_attempt(call)
 
-    def _start_request(
-        self, upstream: SimulatedUpstream, request: UpstreamRequest
-    ) -> None:
-        upstream.busy_slots += 1
-        upstream.started += 1
-        duration_s = request.call.service_time_s * upstream.slow_factor
-        self.after(duration_s, lambda: self._finish_request(upstream, request))
+    def _retry(self, call: Call) -> None:
+        self._callers.retry(call)
 
-    def _finish_request(
-        self, upstream: SimulatedUpstream, request: UpstreamRequest
-    ) -> None:
-        upstream.busy_slots -= 1
-        if upstream.queue:
-            self._start_request(upstream, upstream.queue.pop(0))
-        if not upstream.unresponsive:
-            self.after(self.caller_delay_s, lambda: self._on_answer(request))
-
-    def _on_answer(self, request: UpstreamRequest) -> None:
-        call = request.call
-        if call.port != request.port or call.finished:
-            return
-        call.answered_at = self.now
-        call.received += call.answer_bytes
-        if call.think_time_s is None:
-            self._calls_by_port.pop(call.port, None)
-            self._send(call, FIN | ACK)
-            return
-        self._send(call, ACK)
-        self.after(call.think_time_s(), lambda: self._send_next_request(call))
+    def _send(self, call: Call, flags: int, data: bytes = b"") -> None:
+        self._callers.send(call, flags, data)
 
     # Results ---------------------------------------------------------------------
 
     def on_time_share(self, objective_s: float = 0.15) -> float:
         """Return the fraction of calls answered within a latency objective."""
-        on_time = sum(
-            call.answered_at is not None and call.latency_s <= objective_s
-            for call in self.calls
-        )
-        return on_time / len(self.calls)
+        return on_time_share(self.calls, objective_s)
 
     def worth(self, objective_s: float = 0.15, late_worth: float = 0.3) -> float:
         """Return the mean worth of calls: 1 on time, `late_worth` late, else 0."""
-        on_time = self.on_time_share(objective_s)
-        return on_time + late_worth * (self.answered_share() - on_time)
+        return mean_worth(self.calls, objective_s, late_worth)
 
     def answered_share(self) -> float:
         """Return the fraction of calls that were answered."""
-        return sum(call.answered_at is not None for call in self.calls) / len(
-            self.calls
-        )
+        return answered_share(self.calls)
--- a/tests/test_cut_evidence.py
+++ b/tests/test_cut_evidence.py
@@ -182,7 +182,7 @@
 
     digests_per_s = 1.7
 
-    def _gossip_age(self, domain, other):
+    def gossip_age(self, domain, other):
         if domain == other:
             return 0.0
         times = self.__dict__.setdefault("_digests", {}).setdefault(
@@ -237,7 +237,7 @@
 class NoGossipWorld(FullUpstreamWorld):
     """The balancers of "zone-a" have ended; its upstreams serve on."""
 
-    def _gossip_age(self, domain, other):
+    def gossip_age(self, domain, other):
         return 0.0 if other == "zone-b" else 5.0 + self.now
 
 
