Name the reason of a reset by the field's terms

A newcomer stumbled on proofs, silent requests and falling into a gap. The module is upstreams/reset_cause.py now, requests and openings are unanswered, a process stalls.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -465,14 +465,14 @@
         """
         if not flow.route.idempotent:
             return False
-        proof = self._requests.gone_proof(flow, now)
-        if proof is None:
+        cause = self._requests.reset_cause(flow, now)
+        if cause is None:
             return False
         self._remove_flow(flow)
         self._output.abort(
             flow.segment,
             "upstream gone",
-            proof=proof.value,
+            cause=cause.value,
             revision=self._view.revision,
             **self._requests.silence(flow, now),
         )
--- a/egrethook/callers/forwarded_flow.py
+++ b/egrethook/callers/forwarded_flow.py
@@ -13,8 +13,8 @@
 from egrethook.discovery.records import Route
 from egrethook.histogram import LatencyHistogram
 from egrethook.label_counts import LabelCounts
-from egrethook.upstreams.gone_proof import MIN_REPETITIONS, SilentRequest
 from egrethook.upstreams.requests import RequestOutcome
+from egrethook.upstreams.reset_cause import MIN_REPETITIONS, UnansweredRequest
 from egrethook.upstreams.upstream import Upstream
 
 OPENING_TIMEOUT_S = 1.4
@@ -166,9 +166,9 @@
         return (self._request_end - self._request_start) % SEQUENCE_MODULUS
 
     @property
-    def silent_request(self) -> SilentRequest:
+    def unanswered_request(self) -> UnansweredRequest:
         """The current request, as evidence that nothing has answered it."""
-        return SilentRequest(self.sent_at, self._repeated_at)
+        return UnansweredRequest(self.sent_at, self._repeated_at)
 
     def can_be_on_time(self, now: float) -> bool:
         """Return whether an opening sent now can meet its latency objective."""
--- a/egrethook/callers/interruptions.py
+++ b/egrethook/callers/interruptions.py
@@ -22,7 +22,7 @@
         self._max_gap_s = max_gap_s
         self._ticked_at = float("-inf")
         self._ended_at = float("-inf")
-        self._starts = False
+        self._packets_are_queued = False
         self._longest_gap_s = 0.0
         self._longest_gap_at = float("-inf")
 
@@ -42,12 +42,12 @@
 
     def expect_queued_packets(self) -> None:
         """Record that packets have queued before the first tick, as during a start."""
-        self._starts = True
+        self._packets_are_queued = True
 
     def is_catching_up(self, now: float) -> bool:
         """Return whether what is handled now queued while the process stood still."""
         if self._ticked_at == float("-inf"):
-            return self._starts
+            return self._packets_are_queued
         return now - self._ticked_at > self._max_gap_s
 
     def _note_gap(self, gap_s: float, now: float) -> None:
@@ -56,7 +56,7 @@
             self._longest_gap_s = gap_s
             self._longest_gap_at = now
 
-    def fall_into(self, since: float, now: float) -> bool:
+    def occurred_since(self, since: float, now: float) -> bool:
         """Return whether the process stood still at some time in a period.
 
         Packets that piled up are handled before the next tick.
--- a/egrethook/callers/request_tracker.py
+++ b/egrethook/callers/request_tracker.py
@@ -12,9 +12,9 @@
 from egrethook.callers.interruptions import Interruptions
 from egrethook.callers.segments import Segment
 from egrethook.upstreams.flow_limit import FlowLimit
-from egrethook.upstreams.gone_proof import GoneProof
 from egrethook.upstreams.health import PassiveHealth
 from egrethook.upstreams.requests import RequestListener, StallListener
+from egrethook.upstreams.reset_cause import ResetCause
 
 MAX_STALL_S = 0.3
 """Time between two ticks above which unanswered requests prove nothing, in seconds.
@@ -59,7 +59,7 @@
     def note_tick(self, now: float) -> None:
         """Record that the process runs."""
         if self._long_interruptions.is_catching_up(now):
-            self._health.forget_silent_openings()
+            self._health.forget_unanswered_openings()
         self._interruptions.note_tick(now)
         self._long_interruptions.note_tick(now)
 
@@ -94,7 +94,7 @@
         upstream.note_service_time(service_s)
         self._limit.note_answer(upstream, service_s, flow.route.objective_s, now)
         self._counts.request_times.observe(service_s)
-        is_held_up = self._interruptions.fall_into(flow.sent_at, now)
+        is_held_up = self._interruptions.occurred_since(flow.sent_at, now)
         outcome = flow.outcome(segment, service_s, is_held_up)
         self._health.note_progress(upstream, now)
         for listener in self._listeners:
@@ -108,18 +108,18 @@
         for listener in self._stall_listeners:
             listener.request_stalled(upstream, flow.route, flow.sent_at, now)
 
-    def gone_proof(self, flow: ForwardedFlow, now: float) -> GoneProof | None:
-        """Return what proves that the upstream of a flow is gone, if anything does.
+    def reset_cause(self, flow: ForwardedFlow, now: float) -> ResetCause | None:
+        """Return why to reset an open flow, or None if its upstream may still answer.
 
-        Nothing does if this process stood still since the request.
+        There is no cause if this process stood still since the request.
         """
-        if self._long_interruptions.fall_into(flow.sent_at, now):
+        if self._long_interruptions.occurred_since(flow.sent_at, now):
             return None
-        return self._health.gone_proof(flow.tried[0], flow.silent_request, now)
+        return self._health.reset_cause(flow.tried[0], flow.unanswered_request, now)
 
     def silence(self, flow: ForwardedFlow, now: float) -> dict[str, object]:
         """Return whose silence ends a flow and how old the evidence is, for the log."""
-        upstream, request = flow.tried[0], flow.silent_request
+        upstream, request = flow.tried[0], flow.unanswered_request
         return {
             "upstream": upstream.name,
             "silent_ms": round((now - request.sent_at) * 1000),
--- a/egrethook/operators/explain.py
+++ b/egrethook/operators/explain.py
@@ -19,7 +19,7 @@
     " not answer ({silent_openings} consecutive openings unanswered);"
     " resent to {upstream}",
     "flows: an opening is refused.": "refused and not run: {reason}",
-    "flows: an open flow is reset.": "reset while open: {reason} ({proof}); {upstream}"
+    "flows: an open flow is reset.": "reset while open: {reason} ({cause}); {upstream}"
     " has left its request unanswered for {silent_ms} ms",
     "flows: an opening is dropped.": "dropped after {waited_ms} ms in the queue"
     " ({reason}), with {waiting} openings waiting",
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -1,7 +1,7 @@
 """Passive health checking from the packets of callers.
 
 Upstreams that leave openings, the first packets of flows, unanswered are ejected: they
-get no new flows for a while. What ends an open flow is stricter, see `gone_proof`.
+get no new flows for a while. What ends an open flow is stricter, see `reset_cause`.
 """
 
 from __future__ import annotations
@@ -12,14 +12,14 @@
 from zlib import crc32
 
 from egrethook.logs import PartLog
-from egrethook.upstreams.gone_proof import (
-    MIN_SILENT_OPENINGS,
+from egrethook.upstreams.reach_evidence import ReachEvidence
+from egrethook.upstreams.reset_cause import (
+    MIN_UNANSWERED_OPENINGS,
     DomainContact,
-    GoneProof,
-    SilentRequest,
-    find_proof,
+    ResetCause,
+    UnansweredRequest,
+    find_reset_cause,
 )
-from egrethook.upstreams.reach_evidence import ReachEvidence
 from egrethook.upstreams.upstream import Upstream
 
 EJECTION_THRESHOLD = 2
@@ -125,7 +125,7 @@
         self._started_at = float("-inf")
         self._last_heard_at = float("-inf")
         self._domain_heard_at: dict[str, float] = {}
-        self._silent_openings: dict[str, deque[tuple[int, float]]] = {}
+        self._unanswered_openings: dict[str, deque[tuple[int, float]]] = {}
         self._registry_age: RegistryAge = _just_confirmed
         self._gossip_age: GossipAge = _no_gossip
         self._reach_evidence = ReachEvidence()
@@ -169,7 +169,7 @@
             return
         self._domain_unanswered_at[upstream.domain] = now
         if caller is not None:
-            self._note_silent_opening(upstream.domain, caller, sent_at)
+            self._note_unanswered_caller(upstream.domain, caller, sent_at)
         self._reach_evidence.note_unanswered(upstream.domain, sent_at, now)
         self._count_unanswered(upstream, now - sent_at, now, from_peer=False)
         # Without recent answers from this domain, the fault may be on this side, so
@@ -180,17 +180,17 @@
         ):
             self._notify(upstream, HealthObservation(False, now - sent_at))
 
-    def _note_silent_opening(self, domain: str, caller: int, sent_at: float) -> None:
+    def _note_unanswered_caller(self, domain: str, caller: int, sent_at: float) -> None:
         """Remember the latest unanswered openings of different callers."""
-        known = self._silent_openings.get(domain, ())
+        known = self._unanswered_openings.get(domain, ())
         others = [entry for entry in known if entry[0] != caller]
-        self._silent_openings[domain] = deque(
-            [*others, (caller, sent_at)], maxlen=MIN_SILENT_OPENINGS
+        self._unanswered_openings[domain] = deque(
+            [*others, (caller, sent_at)], maxlen=MIN_UNANSWERED_OPENINGS
         )
 
-    def forget_silent_openings(self) -> None:
+    def forget_unanswered_openings(self) -> None:
         """Drop unanswered openings as evidence: this process stood still."""
-        self._silent_openings.clear()
+        self._unanswered_openings.clear()
 
     def note_answer(self, upstream: Upstream, now: float) -> None:
         """Record an answered opening, which ends an ejection."""
@@ -227,15 +227,15 @@
     def note_interruption(self, now: float) -> None:
         """Start afresh: this process has started or been paused."""
         self._started_at = now
-        self.forget_silent_openings()
+        self.forget_unanswered_openings()
         self._reach_evidence.forget_unanswered()
 
-    def gone_proof(
-        self, upstream: Upstream, request: SilentRequest, now: float
-    ) -> GoneProof | None:
-        """Return what proves that the upstream of an open flow is gone, if anything.
+    def reset_cause(
+        self, upstream: Upstream, request: UnansweredRequest, now: float
+    ) -> ResetCause | None:
+        """Return why to reset an open flow, or None if its upstream may still answer.
 
-        Just after a start or a suspension nothing does.
+        There is no cause just after a start or a suspension.
         """
         if now - self._started_at < SETTLING_S:
             return None
@@ -244,10 +244,10 @@
             self._gossip_age(domain),
             self._domain_heard_at.get(domain, float("-inf")),
             self._last_heard_at,
-            [sent_at for _, sent_at in self._silent_openings.get(domain, ())],
+            [sent_at for _, sent_at in self._unanswered_openings.get(domain, ())],
             self._registry_age(),
         )
-        return find_proof(upstream, request, contact, now)
+        return find_reset_cause(upstream, request, contact, now)
 
     def domain_silent_since(self, domain: str) -> float | None:
         """Return since when a failure domain leaves openings unanswered, if it does.
--- a/egrethook/upstreams/gone_proof.py
+++ b/egrethook/upstreams/reset_cause.py
@@ -1,10 +1,10 @@
-"""What proves to a balancer that the upstream of one open flow can't answer any more.
+"""Decides whether to reset an open flow because its upstream has failed.
 
-Answers go directly to the callers, so that a balancer only infers silence. An upstream
-that works on a long request, or takes no new flows, looks like one that is gone. So
-silence alone ends no flow: the registry, or a cut of this balancer's own path, must
-explain it. A wrong proof resets a sound flow, which its caller loses; a missing one
-costs the time up to the caller's timeout.
+Upstreams answer callers directly, so a balancer sees no answers, only requests that
+callers repeat. A long request, and an upstream that takes no new flows, look the same
+as a failed upstream. A flow is therefore reset only if its request was repeated and the
+registry or a network partition explains the missing answer. A wrong reset loses a
+request; a missing one delays the caller until its timeout.
 """
 
 from __future__ import annotations
@@ -19,10 +19,10 @@
 MIN_REPETITIONS = 2
 """Repetitions of the flow's own request from which it counts as unanswered."""
 
-MIN_SILENT_OPENINGS = 3
-"""Unanswered openings of different callers that show a cut of a failure domain."""
+MIN_UNANSWERED_OPENINGS = 3
+"""Unanswered openings of different callers from which a domain may be cut off."""
 
-SILENT_OPENING_MEMORY_S = 2.0
+UNANSWERED_OPENING_MEMORY_S = 2.0
 """Time before a request from which unanswered openings count with it, in seconds."""
 
 CUT_CONTACT_AGE_S = 1.0
@@ -32,23 +32,22 @@
 """
 
 
-class GoneProof(enum.Enum):
-    """What explains the silence of an upstream, beside the flow's own request."""
+class ResetCause(enum.Enum):
+    """What explains that an upstream doesn't answer a request."""
 
     RECORD_REMOVED = "record removed"
     DOMAIN_CUT_OFF = "failure domain cut off"
 
 
-class SilentRequest(NamedTuple):
-    """A request on one open flow, as seen by this balancer.
+class UnansweredRequest(NamedTuple):
+    """A request on an open flow that its caller has not seen answered.
 
     Parameters
     ----------
     sent_at : float
-        When its first copy passed here, in seconds.
+        When this balancer first received it, in seconds.
     repeated_at : tuple of float
-        When its caller repeated it through this balancer, at most the latest
-        `MIN_REPETITIONS` times, in seconds.
+        When its latest repetitions arrived, at most `MIN_REPETITIONS`, in seconds.
     """
 
     sent_at: float
@@ -66,9 +65,9 @@
         When a caller last showed here that one of its upstreams answered, in seconds.
     others_heard_at : float
         The same for any upstream.
-    silent_openings : sequence of float
+    unanswered_openings : sequence of float
         When the latest unanswered openings of different callers were sent to it, at
-        most `MIN_SILENT_OPENINGS`, in seconds.
+        most `MIN_UNANSWERED_OPENINGS`, in seconds.
     registry_age_s : float
         Time since the copy of the registry was confirmed, in seconds.
     """
@@ -76,14 +75,14 @@
     gossip_age_s: float | None
     heard_at: float
     others_heard_at: float
-    silent_openings: Sequence[float]
+    unanswered_openings: Sequence[float]
     registry_age_s: float
 
 
-def find_proof(
-    upstream: Upstream, request: SilentRequest, contact: DomainContact, now: float
-) -> GoneProof | None:
-    """Return what proves that the upstream of an open flow is gone, if anything does.
+def find_reset_cause(
+    upstream: Upstream, request: UnansweredRequest, contact: DomainContact, now: float
+) -> ResetCause | None:
+    """Return why to reset an open flow, or None if its upstream may still answer.
 
     The flow's own request must be unanswered after repetitions through this balancer,
     and nothing may have been heard of the upstream since the first of them.
@@ -93,9 +92,9 @@
     if upstream.alive_at >= request.repeated_at[0]:
         return None
     if _record_is_removed(upstream, now - contact.registry_age_s):
-        return GoneProof.RECORD_REMOVED
+        return ResetCause.RECORD_REMOVED
     if _domain_is_cut_off(request, contact):
-        return GoneProof.DOMAIN_CUT_OFF
+        return ResetCause.DOMAIN_CUT_OFF
     return None
 
 
@@ -107,18 +106,18 @@
     return confirmed_at - gone_at >= EXPIRED_RECORD_GRACE_S
 
 
-def _domain_is_cut_off(request: SilentRequest, contact: DomainContact) -> bool:
+def _domain_is_cut_off(request: UnansweredRequest, contact: DomainContact) -> bool:
     """Return whether nothing comes from a failure domain, by any way.
 
     Others must be heard meanwhile, or this balancer's callers may have moved to
     another one.
     """
-    gossip_age_s, sent_at = contact.gossip_age_s, contact.silent_openings
+    gossip_age_s, sent_at = contact.gossip_age_s, contact.unanswered_openings
     if gossip_age_s is None or gossip_age_s < CUT_CONTACT_AGE_S:
         return False
-    if len(sent_at) < MIN_SILENT_OPENINGS:
+    if len(sent_at) < MIN_UNANSWERED_OPENINGS:
         return False
-    if sent_at[0] < request.sent_at - SILENT_OPENING_MEMORY_S:
+    if sent_at[0] < request.sent_at - UNANSWERED_OPENING_MEMORY_S:
         return False
     if contact.heard_at >= min(sent_at[0], request.repeated_at[0]):
         return False
--- a/tests/test_flow_load.py
+++ b/tests/test_flow_load.py
@@ -410,7 +410,7 @@
     world = cut_a_domain_off_from_open_flows(seed)
     assert world.resets > 0
     assert failed_after(world, 2.5) == 0
-    monkeypatch.setattr(PassiveHealth, "gone_proof", lambda *_: None)
+    monkeypatch.setattr(PassiveHealth, "reset_cause", lambda *_: None)
     assert failed_after(cut_a_domain_off_from_open_flows(seed), 2.5) >= 10
 
 
