Review case 9: packets of open flows go to an endpoint with an equal token

Cause: the token of a flow is the CRC-32 of an endpoint's id and start, and of two live endpoints with one token the lower name gets it, also if the other one has open flows.

Nothing of the product is changed.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -312,12 +312,13 @@
 
     def __init__(self, world: World, number: int, zone: str, service: str) -> None:
         self._world = world
-        self.id = f"i-{random.getrandbits(32):08x}"
+        self.id, self.born = world.ids.get(
+            number, (f"i-{random.getrandbits(32):08x}", int(time.time() * 1000))
+        )
         self.instance = int(self.id[2:], 16)
         self.zone = zone
         self.service = service
         self.host = world.host(5, number)
-        self.born = int(time.time() * 1000)
         self.sequence = 0
         self.reaches_store = True
         self.restarted_at = float("-inf")
@@ -658,6 +659,8 @@
         self.kept_answers = 0
         self.contracts = "base,drain,config,cost,recover,flows,places,platform"
         self.stable_window_s = 4.0
+        # Ids and starts of endpoints, by number; others get random ids.
+        self.ids: dict[int, tuple[str, int]] = {}
         self.resets: list[tuple[float, str, Call, Endpoint | None]] = []
 
     def host(self, kind: int, number: int) -> str:
