Take no newer incarnation for the end of the flows of its name

What callers saw: an upstream started again under its name while it was cut off from the registry.

Cause: the old incarnation's `gone_at`, set when the record of the newer one came, counted as a record that was removed. But flows opened between the restart and its record carry the old token and are at the new incarnation.

The log of records now names the start, without which this couldn't be told.

Change: the incarnations of a name share a `Registration`: since when the registry lacks any record of the name, and when any of them last answered. Only that explains a missing answer. It works because packets of the old token go to the new incarnation, which resets what it doesn't hold itself.

Tests: four in test_open_flows.py, all failing before.

--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -180,6 +180,7 @@
             revision=item.revision,
             service=record.service,
             phase=record.phase.value,
+            started_ms=record.started_ms,
             failure_domain=record.failure_domain,
             cold=upstream.is_cold(now),
         )
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -206,7 +206,8 @@
         self._note_sign_of_life(upstream, now)
 
     def _note_sign_of_life(self, upstream: Upstream, now: float) -> None:
-        upstream.alive_at = self._last_heard_at = now
+        upstream.alive_at = upstream.registration.alive_at = now
+        self._last_heard_at = now
         self._domain_heard_at[upstream.domain] = now
         self._reach_evidence.note_answer(upstream.domain, now)
 
--- a/egrethook/upstreams/reset_cause.py
+++ b/egrethook/upstreams/reset_cause.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from egrethook.upstreams.roster import EXPIRED_RECORD_GRACE_S
-from egrethook.upstreams.upstream import Upstream
+from egrethook.upstreams.upstream import Registration, Upstream
 
 MIN_REPETITIONS = 2
 """Repetitions of the flow's own request from which it counts as unanswered."""
@@ -91,19 +91,23 @@
         return None
     if upstream.alive_at >= request.repeated_at[0]:
         return None
-    if _record_is_removed(upstream, now - contact.registry_age_s):
+    if _record_is_removed(upstream.registration, now - contact.registry_age_s):
         return ResetCause.RECORD_REMOVED
     if _domain_is_cut_off(request, contact):
         return ResetCause.DOMAIN_CUT_OFF
     return None
 
 
-def _record_is_removed(upstream: Upstream, confirmed_at: float) -> bool:
-    """Return whether the registry still lacked the record after a lapse would end."""
-    gone_at = upstream.gone_at
-    if gone_at is None or upstream.alive_at >= gone_at:
+def _record_is_removed(registration: Registration, confirmed_at: float) -> bool:
+    """Return whether the registry still lacked the record after a lapse would end.
+
+    A newer incarnation is no removal: the flow may have been opened at it before its
+    record came. If it wasn't, the new incarnation resets the flow itself.
+    """
+    absent_since = registration.absent_since
+    if absent_since is None or registration.alive_at >= absent_since:
         return False
-    return confirmed_at - gone_at >= EXPIRED_RECORD_GRACE_S
+    return confirmed_at - absent_since >= EXPIRED_RECORD_GRACE_S
 
 
 def _domain_is_cut_off(request: UnansweredRequest, contact: DomainContact) -> bool:
--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -4,9 +4,10 @@
 
 from collections import defaultdict
 from collections.abc import Collection, Mapping
+from weakref import WeakValueDictionary
 
 from egrethook.discovery.records import UpstreamPhase, UpstreamRecord
-from egrethook.upstreams.upstream import Upstream
+from egrethook.upstreams.upstream import Registration, Upstream
 
 EXPIRED_RECORD_GRACE_S = 2.2
 """Time for which an answering upstream is kept after its record expired, in seconds.
@@ -38,6 +39,9 @@
         self._version = 0
         self._grace_ends_at: dict[str, float] = {}
         self._gone: dict[int, Upstream] = {}
+        self._registrations: WeakValueDictionary[str, Registration] = (
+            WeakValueDictionary()
+        )
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -72,6 +76,8 @@
         """Add or update an upstream; the record may describe a new incarnation."""
         self._grace_ends_at.pop(record.name, None)
         self._version += 1
+        registration = self._registrations.setdefault(record.name, Registration())
+        registration.absent_since = None
         known = self._by_name.get(record.name)
         if known is not None and known.record.started_ms == record.started_ms:
             self._remove_from_service(known)
@@ -81,7 +87,7 @@
         if known is not None:
             self._remove_from_service(known)
             self._retire(known, now)
-        known = Upstream(record, now)
+        known = Upstream(record, now, registration)
         self._by_name[record.name] = known
         self._claim_token(known)
         return known
@@ -96,6 +102,7 @@
         known = self._by_name.get(name)
         if known is None or name in self._grace_ends_at:
             return
+        known.registration.absent_since = now
         was_ready = known.record.phase is UpstreamPhase.READY
         if was_ready and now - known.answered_at < RECENT_ANSWER_S:
             self._grace_ends_at[name] = now + EXPIRED_RECORD_GRACE_S
--- a/egrethook/upstreams/upstream.py
+++ b/egrethook/upstreams/upstream.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple, Protocol
 from zlib import crc32
 
+from msgspec import Struct
+
 from egrethook.discovery.records import Route, UpstreamPhase, UpstreamRecord
 
 CHECK_AFTER_S = 0.3
@@ -51,6 +53,26 @@
         ...
 
 
+class Registration(Struct, eq=False, weakref=True):
+    """What the registry holds under a name, shared by the name's incarnations.
+
+    An upstream that starts again while it can't reach the registry gets flows with the
+    token of its earlier incarnation. The record of a newer incarnation therefore tells
+    nothing about a flow, only the lack of any record does.
+
+    Parameters
+    ----------
+    absent_since : float or None
+        When this balancer learned that the registry lacks the record, in seconds; None
+        while it has one.
+    alive_at : float
+        When any incarnation last answered an opening or a request, in seconds.
+    """
+
+    absent_since: float | None = None
+    alive_at: float = float("-inf")
+
+
 class Upstream:
     """One incarnation of an upstream, with the state observed from its packets.
 
@@ -60,6 +82,8 @@
         The newest record of this incarnation.
     now : float
         Time at which it was discovered, in seconds.
+    registration : Registration, optional
+        Shared with the other incarnations of the same name.
 
     Attributes
     ----------
@@ -91,7 +115,8 @@
     service_time_s : float
         Moving average of service times, in seconds; 0.0 before the first answer.
     gone_at : float or None
-        Time at which the upstream was removed, in seconds; None while it is current.
+        Time at which the upstream was removed or replaced by a newer incarnation, in
+        seconds; None while it is current.
     """
 
     __slots__ = (
@@ -112,6 +137,7 @@
         "last_served_at",
         "last_unanswered_at",
         "name",
+        "registration",
         "requests",
         "service",
         "service_time_s",
@@ -121,9 +147,15 @@
         "unanswered",
     )
 
-    def __init__(self, record: UpstreamRecord, now: float) -> None:
+    def __init__(
+        self,
+        record: UpstreamRecord,
+        now: float,
+        registration: Registration | None = None,
+    ) -> None:
         self._record = record
         self._cold_until = now + record.cold_left_s
+        self.registration = registration or Registration()
         self.name = record.name
         self.instance = record.instance
         self.service = record.service
--- a/tests/test_open_flows.py
+++ b/tests/test_open_flows.py
@@ -155,6 +155,66 @@
     assert reset_callers(harness) == [2000]
 
 
+def repeat_long_request(harness, token, times):
+    """Flow 2000 sends a request at the first time, and repeats it at the others."""
+    for now in times:
+        harness.advance(now)
+        harness.view.upstreams.expire(now)
+        data = packet(2000, ACK, echo=token, ack=100, sequence=11, data=bytes(10))
+        harness.dispatcher.handle(data, now)
+
+
+def test_flow_opened_before_the_record_of_a_restarted_upstream_is_not_reset():
+    """Guards against resets of sound flows, opened with the token of before a restart.
+
+    The upstream started again while it was cut off from the registry.
+    """
+    harness = harness_with_open_flows()
+    token = harness.upstream("a").token
+    harness.put_upstream("a", now=1.0, started_ms=2)
+    repeat_long_request(harness, token, (8.0, 8.2, 8.6, 9.4))
+    assert reset_callers(harness) == []
+
+
+def test_flow_is_not_reset_after_a_restarted_upstream_has_registered_anew():
+    """The same, but the old record had expired before the new one came."""
+    harness = harness_with_open_flows()
+    token = harness.upstream("a").token
+    harness.put(ItemKind.UPSTREAM, "a", None, now=1.0)
+    harness.advance(4.0)
+    harness.view.upstreams.expire(4.0)
+    assert harness.upstream("a") is None
+    harness.put_upstream("a", now=4.1, started_ms=2)
+    repeat_long_request(harness, token, (8.0, 8.2, 8.6, 9.4))
+    assert reset_callers(harness) == []
+
+
+def test_flow_of_a_restarted_upstream_is_reset_once_no_record_is_left():
+    """Guards against callers that wait for an upstream that restarted, then ended."""
+    harness = harness_with_open_flows()
+    token = harness.upstream("a").token
+    harness.put_upstream("a", now=1.0, started_ms=2)
+    harness.put(ItemKind.UPSTREAM, "a", None, now=5.0)
+    repeat_long_request(harness, token, (6.0, 6.2, 6.6))
+    assert reset_callers(harness) == []
+    repeat_long_request(harness, token, (7.4,))
+    assert reset_callers(harness) == [2000]
+
+
+def test_sign_of_life_at_the_new_incarnation_keeps_flows_of_the_old_token():
+    """Guards against resets while a cut hides an upstream from the registry again."""
+    harness = harness_with_open_flows()
+    token = harness.upstream("a").token
+    harness.put_upstream("a", now=1.0, started_ms=2)
+    flow_request(harness, 2002, "a", 4.9)
+    new_token = harness.upstream("a").token
+    harness.put(ItemKind.UPSTREAM, "a", None, now=5.0)
+    answered = packet(2002, ACK, echo=new_token, ack=100, sequence=11)
+    harness.dispatcher.handle(answered, 5.1)
+    repeat_long_request(harness, token, (6.0, 6.2, 6.6, 7.4))
+    assert reset_callers(harness) == []
+
+
 def test_opening_shows_whether_an_upstream_that_stalls_is_alive():
     """Its stalled requests make it look busy, so it would get no openings at all."""
     harness = DispatcherHarness(flow_limit=1)
