Let no copy of the registry answer for removals that it never saw

What callers saw: the processes that read the registry were killed as a record was removed, and started again.

Evidence: the VMs reached the removal's revision without logging a removal, right after asking a process that had just started.

Change: a copy remembers the stretches of revisions that it jumped over. Changes across one replace what the reader holds of it, so that what they don't list is deleted; it works because a copy is complete at both ends of a gap.

Tests: in test_discovery.py six failed before (one is a model of a registry with copies that restart, gossip and lose messages), in test_gossip.py the restart of readers; the rest are of the parts, which are new. `test_size_limited_changes_continue...` now builds the same source from changes, all else as before; `..._fits_a_datagram` asks it of each part and of what they decode to.

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -9,6 +9,11 @@
 import anyio
 
 from egrethook.addresses import Address
+from egrethook.balancers.delta_parts import (
+    DELTA_MAX_BYTES,
+    DeltaAssembly,
+    split_delta,
+)
 from egrethook.balancers.gossip_codec import (
     DATAGRAM_MAX_BYTES,
     Delta,
@@ -33,13 +38,6 @@
 GOSSIP_INTERVAL_S = 0.3
 """Mean interval between two rounds of digests, in seconds."""
 
-DELTA_MAX_BYTES = 48_000
-"""Maximum size of the items in one delta before compression, in bytes.
-
-A delta of this size fits a datagram even if its items do not compress. A single
-item that is larger is still sent.
-"""
-
 PUSH_MAX_BYTES = 1_000
 """Maximum size of the items that are pushed without a request, in bytes."""
 
@@ -116,6 +114,7 @@
         self._report_limiter = TokenBucket(REPORTS_PER_S, REPORTS_PER_S)
         self._leaving = False
         self._last_request_at = float("-inf")
+        self._assembly = DeltaAssembly()
         self._bytes_sent = 0
         self._refused = 0
         self._round_errors = ErrorBoundary(_LOG, "round of digests")
@@ -193,8 +192,7 @@
             return Changes(revision, revision, items)
         catalog = self._replica.catalog
         changes = catalog.changes_since(previous_revision, PUSH_MAX_BYTES)
-        is_complete = changes is not None and changes.revision == revision
-        return changes if is_complete else None
+        return changes if changes.revision == revision else None
 
     def _handle(self, datagram: bytes, source: Address) -> None:
         try:
@@ -252,18 +250,21 @@
 
     def _on_delta(self, delta: Delta, source: Address) -> None:
         now = self._clock.now()
-        self._replica.apply_changes(delta.changes, now - delta.age_s)
-        if self._replica.revision < delta.changes.revision:
+        whole = self._assembly.add(source, delta, now)
+        if whole is None:
+            # The other parts are under way.
+            self._last_request_at = now
+            return
+        self._replica.apply_changes(whole.changes, now - whole.age_s)
+        if self._replica.revision < whole.changes.revision:
             self._request_changes(source, now)
 
     def _send_missing(self, target: Address, after: int, now: float) -> None:
         changes = self._replica.catalog.changes_since(after, DELTA_MAX_BYTES)
-        if changes is None:
-            # The member reads the registry instead.
-            return
         current = changes.revision == self._replica.revision
         age_s = self._replica.age(now) if current else float("inf")
-        self._send(Delta(changes, age_s), [target])
+        for delta in split_delta(changes, age_s):
+            self._send(delta, [target])
 
     def _request_changes(self, target: Address, now: float) -> None:
         """Request the missing changes from a member with a newer revision."""
--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -37,6 +37,9 @@
 More than all items and tombstones, which may have one revision.
 """
 
+DELTA_MAX_PARTS = 256
+"""Maximum number of the parts of a delta."""
+
 _PROTOCOL = TCompactProtocolAcceleratedFactory(
     string_length_limit=DATAGRAM_MAX_BYTES, container_length_limit=CONTAINER_MAX_ITEMS
 )
@@ -102,10 +105,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Delta:
-    """Changes, with the time since they were known to be current, in seconds."""
+    """Changes, or one part of them.
+
+    Parameters
+    ----------
+    age_s : float
+        Time since they were known to be current, in seconds.
+    part, parts : int
+        Number of this part, from 0, and of all parts.
+    """
 
     changes: Changes
     age_s: float
+    part: int = 0
+    parts: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -284,15 +297,26 @@
         revision=changes.revision,
         age_ms=_encode_age(delta.age_s),
         items=[_encode_item(item) for item in changes.items],
+        replaces=changes.replaces,
+        part=delta.part,
+        parts=delta.parts,
     )
 
 
 def _decode_delta(encoded: ttypes.Delta) -> Delta:
     items = [_decode_item(item) for item in encoded.items]
     changes = Changes(
-        _checked_revision(encoded.after), _checked_revision(encoded.revision), items
+        _checked_revision(encoded.after),
+        _checked_revision(encoded.revision),
+        items,
+        bool(encoded.replaces),
     )
-    return Delta(changes, _decode_age(encoded.age_ms))
+    part, parts = encoded.part, encoded.parts
+    if not 0 <= part < parts <= DELTA_MAX_PARTS:
+        raise ValueError(
+            f"part {part} of {parts} out of range: expected up to {DELTA_MAX_PARTS}"
+        )
+    return Delta(changes, _decode_age(encoded.age_ms), part, parts)
 
 
 def _encode_report(report: UpstreamReport) -> ttypes.UpstreamReport:
--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 
+from egrethook.discovery.history_gaps import HistoryGaps
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
 
 TOMBSTONE_LIMIT = 5_000
@@ -25,15 +26,16 @@
     """The newest revision of each item, complete up to `revision`.
 
     Items arrive from the registry and from other balancers in any order. The
-    newer revision of an item wins, so an item never reverts.
+    newer revision of an item wins, so an item never reverts. What a snapshot doesn't
+    show, items that were added and removed since the revision held before, is
+    remembered as a gap in the history.
     """
 
     def __init__(self) -> None:
         self._items: dict[ItemKey, PublishedItem] = {}
         self._tombstones: OrderedDict[ItemKey, int] = OrderedDict()
         self._revision = 0
-        # Newest revision among the tombstones dropped.
-        self._forgotten_revision = 0
+        self._gaps = HistoryGaps()
 
     @property
     def revision(self) -> int:
@@ -50,16 +52,8 @@
         Items missing from the snapshot are deleted unless they are newer.
         """
         changed = self._merge(snapshot.items)
-        present = {(item.kind, item.name) for item in snapshot.items}
-        missing = [
-            PublishedItem(item.kind, item.name, snapshot.revision, None)
-            for key, item in self._items.items()
-            if key not in present
-            and item.value is not None
-            and item.revision <= snapshot.revision
-        ]
-        changed += self._merge(missing)
-        self._revision = max(self._revision, snapshot.revision)
+        changed += self._delete_missing(snapshot.items, 0, snapshot.revision)
+        self._skip_to(snapshot.revision)
         return changed
 
     def merge_changes(self, changes: Changes) -> list[PublishedItem]:
@@ -68,22 +62,30 @@
         Changes that start after the held revision are merged too, but leave a
         gap and so do not advance `revision`. An item that is not held although its
         revision is covered was deleted since, and stays so: its tombstone may have
-        been dropped, or never have been received, as after a snapshot.
+        been dropped, or never have been received, as after a snapshot. What changes
+        that replace the items of their revisions lack is deleted.
         """
         changed = self._merge(
             item
             for item in changes.items
             if item.revision > self._revision or (item.kind, item.name) in self._items
         )
-        if changes.after <= self._revision:
-            self._revision = max(self._revision, changes.revision)
+        if changes.after > self._revision or changes.revision <= self._revision:
+            return changed
+        if changes.replaces:
+            changed += self._delete_missing(
+                changes.items, changes.after, changes.revision
+            )
+            self._skip_to(changes.revision)
+        self._revision = changes.revision
         return changed
 
-    def changes_since(self, after: int, limit_bytes: int) -> Changes | None:
+    def changes_since(self, after: int, limit_bytes: int) -> Changes:
         """Return the changes after a revision, oldest first, up to a size limit.
 
         Changes of one revision are never separated: a snapshot deletes several items
-        at once.
+        at once. Across a gap in the history there is no limit, and the changes begin
+        where the gap does and replace what the reader holds.
 
         Parameters
         ----------
@@ -91,16 +93,12 @@
             The revision that the reader holds.
         limit_bytes : int
             Maximum total size. The first item is returned even if it is larger.
-
-        Returns
-        -------
-        Changes or None
-            None if tombstones of later revisions have been dropped.
         """
-        if after < self._forgotten_revision:
-            return None
-        newer = [item for item in self._items.values() if item.revision > after]
+        start = self._gaps.last_complete(after)
+        newer = [item for item in self._items.values() if item.revision > start]
         newer.sort(key=lambda item: item.revision)
+        if self._gaps.between(start, self._revision):
+            return Changes(start, self._revision, newer, replaces=True)
         count = _count_within(newer, limit_bytes)
         if count == len(newer):
             return Changes(after, max(after, self._revision), newer)
@@ -108,6 +106,26 @@
         complete_to = min(newer[count - 1].revision, self._revision)
         return Changes(after, max(after, complete_to), newer[:count])
 
+    def _skip_to(self, revision: int) -> None:
+        """Advance to a revision whose state is known, but not the way to it."""
+        self._gaps.add(self._revision, revision)
+        self._revision = max(self._revision, revision)
+
+    def _delete_missing(
+        self, present: Sequence[PublishedItem], after: int, revision: int
+    ) -> list[PublishedItem]:
+        """Delete what is held of a stretch of revisions and is not present."""
+        keys = {(item.kind, item.name) for item in present}
+        return self._merge(
+            [
+                PublishedItem(item.kind, item.name, revision, None)
+                for key, item in self._items.items()
+                if key not in keys
+                and item.value is not None
+                and after < item.revision <= revision
+            ]
+        )
+
     def _merge(self, items: Iterable[PublishedItem]) -> list[PublishedItem]:
         changed = []
         for item in items:
@@ -122,7 +140,7 @@
             changed.append(item)
         while len(self._tombstones) > TOMBSTONE_LIMIT:
             key, revision = self._tombstones.popitem(last=False)
-            self._forgotten_revision = max(self._forgotten_revision, revision)
+            self._gaps.add(0, revision)
             del self._items[key]
         return changed
 
--- a/egrethook/discovery/records.py
+++ b/egrethook/discovery/records.py
@@ -41,11 +41,16 @@
 
 
 class Changes(NamedTuple):
-    """The items that changed after one revision, up to and including another."""
+    """The items that changed after one revision, up to and including another.
+
+    `replaces` is True if removals may be missing. The items then replace all that a
+    reader holds of revisions after `after` and up to `revision`.
+    """
 
     after: int
     revision: int
     items: Sequence[PublishedItem]
+    replaces: bool = False
 
 
 class UpstreamPhase(enum.Enum):
--- a/egrethook/wire/gossip/ttypes.py
+++ b/egrethook/wire/gossip/ttypes.py
@@ -336,15 +336,21 @@
      - revision
      - age_ms
      - items
+     - replaces
+     - part
+     - parts
 
     """
 
 
-    def __init__(self, after=None, revision=None, age_ms=None, items=None,):
+    def __init__(self, after=None, revision=None, age_ms=None, items=None, replaces=None, part=None, parts=None,):
         self.after = after
         self.revision = revision
         self.age_ms = age_ms
         self.items = items
+        self.replaces = replaces
+        self.part = part
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -381,6 +387,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.replaces = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.parts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -410,6 +431,18 @@
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.replaces is not None:
+            oprot.writeFieldBegin('replaces', TType.BOOL, 5)
+            oprot.writeBool(self.replaces)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 6)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.I32, 7)
+            oprot.writeI32(self.parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -972,6 +1005,9 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
     (4, TType.LIST, 'items', (TType.STRUCT, [Item, None], False), None, ),  # 4
+    (5, TType.BOOL, 'replaces', None, None, ),  # 5
+    (6, TType.I32, 'part', None, None, ),  # 6
+    (7, TType.I32, 'parts', None, None, ),  # 7
 )
 all_structs.append(UpstreamReport)
 UpstreamReport.thrift_spec = (
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -31,6 +31,9 @@
   2: i64 revision,
   3: i32 age_ms,
   4: list<Item> items,
+  5: bool replaces,
+  6: i32 part,
+  7: i32 parts,
 }
 
 struct UpstreamReport {
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -17,11 +17,11 @@
 
 from egrethook.addresses import Address
 from egrethook.balancers.gossip_codec import Delta, decode, encode
-from egrethook.discovery.catalog import Catalog
+from egrethook.discovery.catalog import TOMBSTONE_LIMIT, Catalog
 from egrethook.discovery.follower import BATCH_DELAY_S, RegistryFollower
 from egrethook.discovery.http_client import HttpClient
 from egrethook.discovery.http_exchange import ResponseReader
-from egrethook.discovery.records import Changes, ItemKind, Snapshot
+from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
 from egrethook.discovery.replica import Replica
 from egrethook.exceptions import (
     HistoryLostError,
@@ -58,8 +58,8 @@
 
 def test_size_limited_changes_continue_where_the_last_ones_ended():
     source, target = Catalog(), Catalog()
-    source.merge_snapshot(
-        Snapshot([item(f"up-{n}", n, b"v" * 100) for n in range(1, 50)], 60)
+    source.merge_changes(
+        Changes(0, 60, [item(f"up-{n}", n, b"v" * 100) for n in range(1, 50)])
     )
     rounds = 0
     while target.revision < source.revision:
@@ -122,6 +122,134 @@
     assert target.revision == count + 1
 
 
+def test_removal_that_a_fresh_copy_never_saw_reaches_one_that_is_behind():
+    """Guards against a server that is gone and stays in use at VMs in touch.
+
+    The VMs that read the registry are killed as its record is removed, and start again.
+    """
+    behind, fresh = Catalog(), Catalog()
+    out_of_service = PublishedItem(ItemKind.DOMAIN_OUT, "zone-a", 80, b"{}")
+    held = [out_of_service, item("gone", 92), item("b", 94)]
+    behind.merge_snapshot(Snapshot(held, 94))
+    fresh.merge_snapshot(Snapshot([item("b", 94), item("c", 99)], 100))
+    behind.merge_changes(fresh.changes_since(behind.revision, 1_000))
+    assert names(behind) == {"b", "c"}
+    assert behind.get(ItemKind.DOMAIN_OUT, "zone-a").value is None
+    assert behind.revision == 100
+
+
+def copy_that_jumped():
+    """It never saw "gone", which was added at 92 and removed at 96."""
+    jumped = Catalog()
+    jumped.merge_changes(Changes(0, 90, [item("a", 5), item("b", 90)]))
+    jumped.merge_snapshot(Snapshot([item("b", 90), item("c", 99)], 100))
+    return jumped
+
+
+@pytest.mark.parametrize("relayed", [False, True])
+def test_item_added_and_removed_between_two_snapshots_is_not_kept(relayed):
+    """Guards against the same behind a snapshot in the middle of a process's life."""
+    source = copy_that_jumped()
+    if relayed:
+        relay = Catalog()
+        relay.merge_changes(Changes(0, 90, [item("a", 5), item("b", 90)]))
+        relay.merge_changes(source.changes_since(90, 1_000))
+        source = relay
+    behind = Catalog()
+    held = [item("a", 5), item("b", 90), item("gone", 92)]
+    behind.merge_changes(Changes(0, 94, held))
+    behind.merge_changes(source.changes_since(94, 1_000))
+    assert names(behind) == {"b", "c"}
+    assert behind.revision == 100
+
+
+def test_change_pushed_across_a_gap_is_not_kept_if_it_was_removed():
+    """Guards against a pushed record whose removal nobody in touch has seen."""
+    behind = Catalog()
+    behind.merge_changes(Changes(0, 90, [item("a", 5), item("b", 90)]))
+    behind.merge_changes(Changes(91, 92, [item("gone", 92)]))
+    behind.merge_changes(copy_that_jumped().changes_since(90, 1_000))
+    assert names(behind) == {"b", "c"}
+
+
+def test_copy_that_lost_tombstones_still_removes_what_others_hold():
+    """Guards against removals that were dropped for their number."""
+    count = TOMBSTONE_LIMIT + 10
+    source, behind = Catalog(), Catalog()
+    items = [item(f"up-{n}", n) for n in range(1, count + 1)]
+    for catalog in (source, behind):
+        catalog.merge_changes(Changes(0, count, items))
+    removed = [item(f"up-{n}", count + n, None) for n in range(1, count + 1)]
+    source.merge_changes(Changes(count, 2 * count, removed))
+    behind.merge_changes(source.changes_since(behind.revision, 10**7))
+    assert names(behind) == set()
+    assert behind.revision == 2 * count
+
+
+class RegistryModel:
+    """A registry that remembers its state at each revision."""
+
+    def __init__(self):
+        self.states = [{}]
+        self.events = []
+
+    @property
+    def revision(self):
+        return len(self.states) - 1
+
+    def write(self, name, value):
+        revision = self.revision + 1
+        change = item(name, revision, value)
+        self.events.append(change)
+        state = {key: held for key, held in self.states[-1].items() if key != name}
+        self.states.append(state if value is None else {**state, name: change})
+
+    def snapshot(self):
+        return Snapshot(list(self.states[-1].values()), self.revision)
+
+    def changes(self, after):
+        return Changes(after, self.revision, self.events[after:])
+
+    def agrees_with(self, catalog):
+        """Whether a copy holds the registry's state at the revision that it states."""
+        held = {name: catalog.get(ItemKind.UPSTREAM, name) for name in "abcd"}
+        state = self.states[catalog.revision]
+        return all(
+            state.get(name) == (one if one and one.value is not None else None)
+            for name, one in held.items()
+            if one is None or one.revision <= catalog.revision
+        )
+
+
+@given(st.integers(0, 2**32))
+def test_copies_hold_the_state_of_the_revision_that_they_state(seed):
+    """Guards against copies that count as complete and lack removals.
+
+    Some read snapshots, some changes; they restart, gossip, and lose messages.
+    """
+    rng = random.Random(seed)
+    registry = RegistryModel()
+    copies = [Catalog() for _ in range(3)]
+    for _ in range(60):
+        number = rng.randrange(3)
+        copy, other = copies[number], copies[(number + rng.choice((1, 2))) % 3]
+        action = rng.randrange(7)
+        if action <= 1:
+            registry.write(rng.choice("abcd"), rng.choice([b"1", b"2", None]))
+        elif action == 2:
+            copy.merge_snapshot(registry.snapshot())
+        elif action == 3:
+            copy.merge_changes(registry.changes(copy.revision))
+        elif action == 4:
+            copies[number] = Catalog()
+        elif action == 5:
+            copy.merge_changes(other.changes_since(copy.revision, 40))
+        else:
+            after = rng.randrange(other.revision + 1)
+            copy.merge_changes(other.changes_since(after, 40))
+        assert all(map(registry.agrees_with, copies))
+
+
 @given(st.integers(0, 2**32))
 def test_replicas_that_exchange_deltas_in_any_order_agree(seed):
     rng = random.Random(seed)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -21,7 +21,12 @@
 from thrift.TSerialization import serialize
 
 from egrethook.addresses import Address
-from egrethook.balancers.gossip import DELTA_MAX_BYTES, REPORTS_PER_S, Gossip
+from egrethook.balancers.delta_parts import (
+    DELTA_MAX_BYTES,
+    DeltaAssembly,
+    split_delta,
+)
+from egrethook.balancers.gossip import REPORTS_PER_S, Gossip
 from egrethook.balancers.gossip_codec import (
     DATAGRAM_MAX_BYTES,
     MESSAGE_MAX_BYTES,
@@ -425,13 +430,74 @@
     assert decode(datagram) == delta
 
 
-def test_delta_of_incompressible_records_fits_a_datagram():
+def incompressible_state():
     rng = random.Random(1)
     replica = Replica(lambda items, previous_revision: None)
     items = [item(f"up-{n}", n, rng.randbytes(500)) for n in range(1, 400)]
     replica.apply_snapshot(Snapshot(items, 400), 0.0)
-    changes = replica.catalog.changes_since(0, DELTA_MAX_BYTES)
-    assert len(encode(Delta(changes, 0.5))) < DATAGRAM_MAX_BYTES
+    return replica.catalog
+
+
+def test_each_delta_of_incompressible_records_fits_a_datagram():
+    catalog = incompressible_state()
+    deltas = split_delta(catalog.changes_since(0, DELTA_MAX_BYTES), 0.5)
+    assert len(deltas) > 4
+    for delta in deltas:
+        assert len(encode(delta)) < DATAGRAM_MAX_BYTES
+        assert decode(encode(delta)) == delta
+
+
+def test_parts_of_changes_in_any_order_make_the_whole():
+    """Guards against a state that is taken as complete while a part is missing."""
+    changes = incompressible_state().changes_since(0, DELTA_MAX_BYTES)
+    deltas = split_delta(changes, 0.5)
+    random.Random(2).shuffle(deltas)
+    assembly, source = DeltaAssembly(), Address("10.0.0.1", 7000)
+    for delta in deltas[:-1]:
+        assert assembly.add(source, delta, 1.0) is None
+        assert assembly.add(source, delta, 1.0) is None
+    assert assembly.add(Address("10.0.0.2", 7000), deltas[-1], 1.0) is None
+    whole = assembly.add(source, deltas[-1], 1.2)
+    assert whole.changes == changes
+    assert whole.age_s == pytest.approx(0.7)
+
+
+def test_parts_of_different_changes_are_not_joined():
+    """Guards against a state put together from two revisions."""
+    changes = incompressible_state().changes_since(0, DELTA_MAX_BYTES)
+    assembly, source = DeltaAssembly(), Address("10.0.0.1", 7000)
+    first, *others = split_delta(changes, 0.5)
+    assembly.add(source, first, 1.0)
+    for delta in others:
+        later = delta.changes._replace(revision=401)
+        other = Delta(later, 0.5, delta.part, delta.parts)
+        assert assembly.add(source, other, 1.0) is None
+
+
+@pytest.mark.parametrize(("part", "parts"), [(-1, 1), (1, 1), (0, 0), (0, 257)])
+def test_part_out_of_range_is_refused(part, parts):
+    delta = Delta(Changes(3, 5, []), 0.5, part, parts)
+    with pytest.raises(BadMessageError):
+        decode(encode(delta))
+
+
+def test_removal_while_the_readers_restart_reaches_the_members_in_touch():
+    """Guards against upstreams that are gone and stay in use.
+
+    Members ask one that has just read a snapshot, which has no removals in it.
+    """
+    fleet = Fleet(6)
+    fleet.run_rounds(4)
+    held = [item("gone", 3), item("b", 7)]
+    fleet.replicas[0].apply_snapshot(Snapshot(held, 7), fleet.clock.now())
+    fleet.run_rounds(4)
+    restarted = fleet.add(7)
+    fleet.network.gossips.pop(Address("10.0.0.1", 7000))
+    restarted.apply_snapshot(Snapshot([item("b", 7)], 8), fleet.clock.now())
+    fleet.run_rounds(4)
+    for replica in fleet.replicas[1:]:
+        assert names(replica.catalog) == {"b"}
+        assert replica.revision == 8
 
 
 @pytest.mark.parametrize(
