Count the grace of a removed record from its removal

What callers saw: the VMs that read the registry lost power as a record was removed.

Cause: a process keeps an upstream that still answers for 2.2 s after its record is gone, as it may have expired in an outage of the registry. This counted from when the process learned of the removal, here 2 s after it.

Evidence: the openings end 2.2 s after the process logs the removal. That line now also tells how old the removal is at most, and how long the upstream is kept.

Change: the replica tells since when its copy had been current before a change. The grace counts from there, and from now only if that is at least 2.4 s ago, the shortest outage in which a record can expire. It works since a removal can't be older than the last confirmation without it.

--- a/egrethook/discovery/replica.py
+++ b/egrethook/discovery/replica.py
@@ -24,6 +24,7 @@
         self._catalog = Catalog()
         self._listener = listener
         self._confirmed_at = float("-inf")
+        self._changed_after = float("-inf")
 
     @property
     def catalog(self) -> Catalog:
@@ -39,12 +40,22 @@
         """Return the time since the replica was known to be current, in seconds."""
         return now - self._confirmed_at
 
+    @property
+    def changed_after(self) -> float:
+        """Time after which the latest changes happened at the registry, in seconds.
+
+        The replica was known to be current until then. They may be much older than the
+        moment at which this process learned of them.
+        """
+        return self._changed_after
+
     def mark_stale(self) -> None:
         """Treat the replica as of unknown age, as after a pause of the process."""
         self._confirmed_at = float("-inf")
 
     def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Merge a registry snapshot."""
+        self._changed_after = self._confirmed_at
         previous_revision = self._catalog.revision
         changed = self._catalog.merge_snapshot(snapshot)
         self._confirmed_at = max(self._confirmed_at, now)
@@ -52,6 +63,7 @@
 
     def apply_changes(self, changes: Changes, known_at: float) -> None:
         """Merge changes that were current at `known_at`."""
+        self._changed_after = self._confirmed_at
         previous_revision = self._catalog.revision
         changed = self._catalog.merge_changes(changes)
         if changes.after <= previous_revision and changes.revision >= previous_revision:
--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -42,6 +42,7 @@
         self._candidates: dict[str, list[Upstream]] = {}
         self._candidates_version = (0, 0)
         self._updates = 0
+        self._changed_after = float("-inf")
         self._logs_upstreams = False
         self._item_errors = ErrorBoundary(_LOG, "published item")
 
@@ -70,13 +71,25 @@
         """The failure domains that are out of service and get no new flows."""
         return frozenset(self._domains_out)
 
-    def update(self, items: Iterable[PublishedItem], now: float) -> None:
+    def update(
+        self,
+        items: Iterable[PublishedItem],
+        now: float,
+        changed_after: float | None = None,
+    ) -> None:
         """Apply changed items.
 
         An invalid route configuration is ignored; an upstream whose record is
         invalid is removed.
+
+        Parameters
+        ----------
+        changed_after : float, optional
+            Time after which they changed at the registry, in seconds; just now if it
+            is not given.
         """
         self._updates += 1
+        self._changed_after = now if changed_after is None else changed_after
         for item in items:
             self._revision = max(self._revision, item.revision)
             try:
@@ -159,17 +172,19 @@
 
     def _apply_upstream(self, item: PublishedItem, now: float) -> None:
         if item.value is None:
+            self._upstreams.remove(item.name, now, self._changed_after)
             _LOG.info(
                 "upstream record deleted.",
                 upstream=item.name,
                 revision=item.revision,
+                deleted_within_s=_seconds_since(self._changed_after, now),
+                kept_s=self._upstreams.grace_left(item.name, now),
             )
-            self._upstreams.remove(item.name, now)
             return
         try:
             record = self._decoder.upstream(item.name, item.value)
         except DocumentError:
-            self._upstreams.remove(item.name, now)
+            self._upstreams.remove(item.name, now, self._changed_after)
             raise
         upstream = self._upstreams.put(record, now)
         if not self._logs_upstreams:
@@ -204,6 +219,11 @@
     }
 
 
+def _seconds_since(time: float, now: float) -> float | None:
+    """Return the time since an event in seconds, or None if it is unknown."""
+    return round(now - time, 3) if time > float("-inf") else None
+
+
 def pick_service(route: Route, flow: bytes) -> str:
     """Return the service of a flow.
 
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -379,7 +379,7 @@
         self, items: Sequence[PublishedItem], previous_revision: int
     ) -> None:
         now = self._clock.now()
-        self._view.update(items, now)
+        self._view.update(items, now, self._replica.changed_after)
         with self._listener_errors:
             self._update_view_trust(now)
         for listener in self._listeners:
--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Collection, Mapping
+from typing import NamedTuple
 from weakref import WeakValueDictionary
 
 from egrethook.discovery.records import UpstreamPhase, UpstreamRecord
@@ -12,13 +13,35 @@
 EXPIRED_RECORD_GRACE_S = 2.2
 """Time for which an answering upstream is kept after its record expired, in seconds.
 
-Records that expire during a registry outage are published again within about 2 s.
+Records that expire during a registry outage are published again within about 2 s of
+its end.
+"""
+
+MIN_OUTAGE_FOR_EXPIRY_S = 2.4
+"""Shortest registry outage in which a record can expire, in seconds.
+
+A record expires after three heartbeats of 1.2 s; at the start of an outage it is at
+most one heartbeat old.
 """
 
 RECENT_ANSWER_S = 1.5
 """Age of the last answer up to which an upstream counts as alive, in seconds."""
 
 
+class GracePeriod(NamedTuple):
+    """Time for which an upstream without a record is kept, in seconds."""
+
+    began_at: float
+    ends_at: float
+
+    @classmethod
+    def begin(cls, now: float, removed_after: float) -> GracePeriod:
+        """Return the grace period of a record that was removed after a given time."""
+        may_have_expired = now - removed_after >= MIN_OUTAGE_FOR_EXPIRY_S
+        counted_from = now if may_have_expired else removed_after
+        return cls(now, counted_from + EXPIRED_RECORD_GRACE_S)
+
+
 class UpstreamIndex:
     """Index of the upstreams by name, by service and by token.
 
@@ -37,7 +60,7 @@
         self._by_token: dict[int, Upstream] = {}
         self._by_service: defaultdict[str, dict[str, Upstream]] = defaultdict(dict)
         self._version = 0
-        self._grace_ends_at: dict[str, float] = {}
+        self._grace_periods: dict[str, GracePeriod] = {}
         self._gone: dict[int, Upstream] = {}
         self._registrations: WeakValueDictionary[str, Registration] = (
             WeakValueDictionary()
@@ -74,7 +97,7 @@
 
     def put(self, record: UpstreamRecord, now: float) -> Upstream:
         """Add or update an upstream; the record may describe a new incarnation."""
-        self._grace_ends_at.pop(record.name, None)
+        self._grace_periods.pop(record.name, None)
         self._version += 1
         registration = self._registrations.setdefault(record.name, Registration())
         registration.absent_since = None
@@ -92,29 +115,44 @@
         self._claim_token(known)
         return known
 
-    def remove(self, name: str, now: float) -> None:
+    def remove(self, name: str, now: float, removed_after: float | None = None) -> None:
         """Remove an upstream whose record is gone.
 
-        If it was ready and answered recently, its record has probably expired during
-        a registry outage, and the upstream is kept for `EXPIRED_RECORD_GRACE_S`.
-        Further removals in that time neither extend it nor end it.
+        If it was ready and answered recently, its record has perhaps expired during a
+        registry outage, and the upstream is kept for `EXPIRED_RECORD_GRACE_S`. Further
+        removals in that time neither extend it nor end it.
+
+        Parameters
+        ----------
+        removed_after : float, optional
+            When the registry was last known to hold the record, in seconds; just now
+            if it is not given. The grace period counts from then, unless there may
+            have been an outage that has just ended.
         """
         known = self._by_name.get(name)
-        if known is None or name in self._grace_ends_at:
+        if known is None or name in self._grace_periods:
             return
         known.registration.absent_since = now
         was_ready = known.record.phase is UpstreamPhase.READY
         if was_ready and now - known.answered_at < RECENT_ANSWER_S:
-            self._grace_ends_at[name] = now + EXPIRED_RECORD_GRACE_S
-            return
+            period = GracePeriod.begin(
+                now, now if removed_after is None else removed_after
+            )
+            if now < period.ends_at:
+                self._grace_periods[name] = period
+                return
         self._drop(known, now)
 
+    def grace_left(self, name: str, now: float) -> float:
+        """Return for how long an upstream is kept without a record, in seconds."""
+        period = self._grace_periods.get(name)
+        return round(period.ends_at - now, 3) if period else 0.0
+
     def expire(self, now: float) -> None:
         """Drop upstreams whose grace period is over, and tokens after `flow_life_s`."""
-        for name, until in list(self._grace_ends_at.items()):
-            if now >= until:
-                removed_at = until - EXPIRED_RECORD_GRACE_S
-                self._drop(self._by_name[name], removed_at)
+        for name, period in list(self._grace_periods.items()):
+            if now >= period.ends_at:
+                self._drop(self._by_name[name], period.began_at)
         for token, upstream in list(self._gone.items()):
             gone_at = upstream.gone_at
             if gone_at is None or now - gone_at < self._flow_life_s:
@@ -127,7 +165,7 @@
     def _drop(self, upstream: Upstream, removed_at: float) -> None:
         """Remove an upstream whose record was removed at `removed_at`."""
         del self._by_name[upstream.name]
-        self._grace_ends_at.pop(upstream.name, None)
+        self._grace_periods.pop(upstream.name, None)
         self._remove_from_service(upstream)
         self._retire(upstream, removed_at)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -279,6 +279,22 @@
         assert names(replica) == names(registry)
 
 
+@pytest.mark.parametrize("by_snapshot", [False, True])
+def test_changes_are_dated_by_the_last_confirmation_before_them(by_snapshot):
+    """Guards against delays that count from when a process learned of a change."""
+    dates = []
+    replica = Replica(lambda items, previous: dates.append(replica.changed_after))
+    replica.apply_snapshot(Snapshot([item("a", 1), item("b", 2)], 2), 1.0)
+    replica.confirm(2, 5.0)
+    if by_snapshot:
+        replica.apply_snapshot(Snapshot([item("b", 2)], 3), 7.1)
+    else:
+        replica.apply_changes(Changes(2, 3, [item("a", 3, None)]), 7.1)
+    replica.mark_stale()
+    replica.apply_changes(Changes(3, 4, [item("b", 4, None)]), 9.0)
+    assert dates == [float("-inf"), 5.0, float("-inf")]
+
+
 class FakeSource:
     """Returns or raises the entries of a script in order, then repeats the last."""
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -13,6 +14,7 @@
 from egrethook.emulator.flow_records import upstream_record
 from egrethook.upstreams.roster import (
     EXPIRED_RECORD_GRACE_S,
+    MIN_OUTAGE_FOR_EXPIRY_S,
     RECENT_ANSWER_S,
     UpstreamIndex,
 )
@@ -58,6 +60,42 @@
     assert index.get("a").accepts_flows
 
 
+@pytest.mark.parametrize("late_s", [0.0, 1.0, 2.1])
+def test_grace_period_counts_from_the_removal_and_not_from_its_discovery(late_s):
+    """Guards against a server that is gone and gets openings for 2 s more.
+
+    This balancer learned late of the removal, as its reader had ended.
+    """
+    index = index_with_answering_upstream()
+    index.get("a").answered_at = 10.0 + late_s
+    index.remove("a", 10.0 + late_s, removed_after=10.0)
+    index.expire(9.9 + EXPIRED_RECORD_GRACE_S)
+    assert index.get("a") is not None
+    index.expire(10.0 + EXPIRED_RECORD_GRACE_S)
+    assert index.get("a") is None
+
+
+def test_removal_that_is_learned_after_the_grace_period_ends_an_upstream_at_once():
+    """The time without the registry was too short for the record to expire in it."""
+    index = index_with_answering_upstream()
+    index.get("a").answered_at = 12.0
+    removed_after = 12.3 - MIN_OUTAGE_FOR_EXPIRY_S + 0.1
+    index.remove("a", 12.3, removed_after)
+    assert index.get("a") is None
+
+
+@pytest.mark.parametrize("outage_s", [MIN_OUTAGE_FOR_EXPIRY_S + 0.1, 10.0, math.inf])
+def test_record_that_may_have_expired_in_an_outage_has_its_time_to_return(outage_s):
+    """Guards against balancers that drop all upstreams at the end of an outage."""
+    index = index_with_answering_upstream()
+    index.get("a").answered_at = 20.0
+    index.remove("a", 20.0, removed_after=20.0 - outage_s)
+    index.expire(19.9 + EXPIRED_RECORD_GRACE_S)
+    assert index.get("a").accepts_flows
+    index.expire(20.0 + EXPIRED_RECORD_GRACE_S)
+    assert index.get("a") is None
+
+
 def test_token_of_open_flows_goes_to_no_newcomer_before_they_have_ended(monkeypatch):
     """Guards against packets of open flows that reach another upstream."""
     monkeypatch.setattr("egrethook.upstreams.upstream.crc32", lambda text: 7)
