Keep the last openings of callers in a module of their own

What callers saw: nothing; behaviour is the same.

Change: `LastOpenings` remembers them and says what a caller avoids; `where` asks it directly.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -15,10 +15,11 @@
     ForwardedFlow,
 )
 from egrethook.callers.held_packets import HeldPackets, ReceivedPacket
+from egrethook.callers.last_openings import LastOpenings
 from egrethook.callers.opening_queues import OpeningQueues
 from egrethook.callers.queueing_policy import QueueingPolicy
 from egrethook.callers.request_tracker import RequestTracker
-from egrethook.callers.segments import IPv4Endpoint, PacketPort, Segment, SegmentCodec
+from egrethook.callers.segments import PacketPort, Segment, SegmentCodec
 from egrethook.discovery.view import ForwardingView, pick_service
 from egrethook.logs import PartLog
 from egrethook.upstreams.flow_limit import FlowLimit
@@ -128,9 +129,9 @@
             self._send_opening,
             queueing,
         )
-        self._last_openings: dict[tuple[int, IPv4Endpoint], ForwardedFlow] = {}
         self._held_packets = HeldPackets()
         self._answer_times = AnswerTimes()
+        self._last_openings = LastOpenings(self._answer_times)
         self._last_expiry_at = 0.0
         self._ticked_at = float("-inf")
         self._view_is_fresh = False
@@ -155,6 +156,11 @@
         """The openings that wait for capacity."""
         return self._queues
 
+    @property
+    def last_openings(self) -> LastOpenings:
+        """The last opening of each caller."""
+        return self._last_openings
+
     @property
     def view_is_fresh(self) -> bool:
         """Whether the view is fresh enough to refuse openings without a route."""
@@ -230,30 +236,9 @@
         service = pick_service(route, segment.flow)
         flow = ForwardedFlow(segment, datagram, route, service, arrived_at)
         flow.note_opening(self._requests.is_catching_up(now))
-        self._avoid_silent_upstreams(flow, now)
+        self._last_openings.note(flow, now)
         self._queues.send_or_add(flow, now)
 
-    def _avoid_silent_upstreams(self, flow: ForwardedFlow, now: float) -> None:
-        """Avoid the upstreams that left the caller's last opening unanswered.
-
-        An upstream whose process has ended resets the caller, which reconnects at
-        once from another port. This balancer sees the reconnect but not the reset.
-        """
-        caller = flow.segment.caller[0], flow.segment.target
-        flow.avoided = self.avoided_by(caller, now)
-        self._last_openings[caller] = flow
-
-    def avoided_by(
-        self, caller: tuple[int, IPv4Endpoint], now: float
-    ) -> list[Upstream]:
-        """Return what a caller's address and target now avoid; changes nothing."""
-        previous = self._last_openings.get(caller)
-        if previous is None or not previous.awaits_first_answer:
-            return []
-        if now - previous.sent_at < self._answer_times.min_reconnect_s:
-            return []
-        return [*previous.avoided, *previous.tried]
-
     def _handle_unknown_route(self, packet: ReceivedPacket, now: float) -> None:
         """Refuse an opening without a route, or hold it until the view is fresh.
 
@@ -488,9 +473,7 @@
 
         Not every flow ends with a closing packet.
         """
-        for caller, opening_flow in list(self._last_openings.items()):
-            if opening_flow.segment.flow not in self._flows:
-                del self._last_openings[caller]
+        self._last_openings.forget_others(self._flows)
         for flow in list(self._flows.values()):
             idle_s = now - flow.last_active_at
             if idle_s > _FLOW_IDLE_TIMEOUTS_S[flow.state]:
--- a/egrethook/forwarding/where.py
+++ b/egrethook/forwarding/where.py
@@ -71,7 +71,7 @@
             caller = _ipv4_number(caller_text)
         except ValueError as error:
             return _refusal(400, str(error))
-        avoided = dispatcher.avoided_by((caller, route.address), now)
+        avoided = dispatcher.last_openings.avoided_by((caller, route.address), now)
     opening = Opening(route, (), avoided, True, now)
     answer = WhereAnswer(
         route.name,
