--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -255,10 +255,23 @@
             # The other parts are under way.
             self._last_request_at = now
             return
-        self._replica.apply_changes(whole.changes, now - whole.age_s)
-        if self._replica.revision < whole.changes.revision:
+        changes = whole.changes
+        if changes.replaces and changes.revision > self._replica.revision:
+            self._log_replacement(changes, source)
+        self._replica.apply_changes(changes, now - whole.age_s)
+        if self._replica.revision < changes.revision:
             self._request_changes(source, now)
 
+    def _log_replacement(self, changes: Changes, source: Address) -> None:
+        _LOG.info(
+            "a member's state replaces what may lack removals.",
+            member=str(source),
+            held_revision=self._replica.revision,
+            after=changes.after,
+            revision=changes.revision,
+            items=len(changes.items),
+        )
+
     def _send_missing(self, target: Address, after: int, now: float) -> None:
         changes = self._replica.catalog.changes_since(after, DELTA_MAX_BYTES)
         current = changes.revision == self._replica.revision
