Remember the earlier copies of an opening that is held

What callers saw: an opening that came while this VM's view was out of date, with all its copies, was sent to one upstream only; if that was silent, the caller waited for its own timeout. No wrong reset.

Cause: of a held opening only the latest copy was kept, so that the earlier ones seemed to have gone to other VMs, where the flow may be open, and the opening wasn't sent to a further upstream.

Change: the latest copy carries the earlier ones of the same opening, and the flow notes them all. It works because an opening whose copies all came here can be open nowhere else.

--- a/egrethook/callers/flow_dispatch.py
+++ b/egrethook/callers/flow_dispatch.py
@@ -221,7 +221,7 @@
     # Openings ------------------------------------------------------------------
 
     def _handle_opening(self, packet: ReceivedPacket, now: float) -> None:
-        segment, datagram, arrived_at = packet
+        segment, datagram, arrived_at, earlier_copies = packet
         flow = self._flows.get(segment.flow)
         if flow is not None and flow.is_replaced_by(segment, now):
             self._remove_flow(flow)
@@ -236,6 +236,8 @@
         service = pick_service(route, segment.flow)
         flow = ForwardedFlow(segment, datagram, route, service, arrived_at)
         flow.note_opening(self._requests.is_catching_up(now))
+        for copy in earlier_copies:
+            flow.note_copy(copy)
         self._last_openings.note(flow, now)
         self._queues.send_or_add(flow, now)
 
@@ -346,7 +348,7 @@
 
     def _handle_flow_packet(self, packet: ReceivedPacket, now: float) -> None:
         """Update the flow that a packet belongs to, and forward it by its token."""
-        segment, datagram, _ = packet
+        segment, datagram = packet.segment, packet.datagram
         upstream = self._view.upstreams.by_token.get(segment.token)
         flow = self._flows.get(segment.flow)
         if flow is None and upstream is not None and segment.length:
