--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -379,6 +379,31 @@
     assert len(names(new_member.catalog)) == 199
 
 
+def test_state_is_asked_for_again_if_one_of_its_parts_is_lost():
+    """Guards against a new member that waits for a part that never comes."""
+    fleet = Fleet(4)
+    fleet.run_rounds(3)
+    items = [item(f"up-{n}", n, b"v" * 300) for n in range(1, 400)]
+    fleet.replicas[0].apply_snapshot(Snapshot(items, 400), fleet.clock.now())
+    fleet.run_rounds(4)
+    new_member = fleet.add(9)
+    gossip = fleet.network.gossips[Address("10.0.0.9", 7000)]
+    handle, lost = gossip._handle, []
+
+    def lose_one_part(data, source):
+        message = decode(data)
+        if not lost and isinstance(message, Delta) and message.parts > 1:
+            lost.append(message)
+        else:
+            handle(data, source)
+
+    gossip._handle = lose_one_part
+    fleet.run_rounds(4)
+    assert lost
+    assert new_member.revision == 400
+    assert len(names(new_member.catalog)) == 399
+
+
 def test_large_value_is_compressed_and_sent_only_on_request():
     fleet = Fleet(12)
     fleet.run_rounds(5)
