Review: flows of sound endpoints reset while others of their zone are down

Cause: a machine takes a failure domain for cut off if no digest came from it for 1 s, which is usual with 10 machines or more, and three openings there were unanswered, which crashed endpoints of any service bring about. An open flow whose request takes longer than 0.6 s is then reset, though its endpoint is at work.

--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -204,6 +204,24 @@
         """Write an endpoint's entry, as it does at a change; return the revision."""
         return self.store.put(f"servers/{endpoint.ident}", endpoint.entry())
 
+    async def crash(self, endpoints, down_s):
+        """Let endpoints crash without a word; they start again after a while.
+
+        Their entries are removed after three heartbeats of silence.
+        """
+        self.record("endpoints crash", endpoints=[one.ident for one in endpoints])
+        for endpoint in endpoints:
+            endpoint.crash()
+        silence_s = min(down_s, 3 * HEARTBEAT_S)
+        await asyncio.sleep(silence_s)
+        for endpoint in endpoints:
+            self.store.delete(f"servers/{endpoint.ident}")
+        await asyncio.sleep(down_s - silence_s)
+        for endpoint in endpoints:
+            endpoint.start_again()
+            self.register(endpoint)
+        self.record("endpoints are back")
+
     def configure(self, config):
         """Write the operator's configuration; the return is the acknowledgement."""
         revision = self.store.put("op/config", config)
@@ -235,6 +253,8 @@
 
     def _write_entries(self):
         for endpoint in self.endpoints.values():
+            if endpoint.is_dark:
+                continue
             item = self.store.items.get(f"servers/{endpoint.ident}")
             if item is None or not _same_entry(item, endpoint):
                 self.register(endpoint)
--- a/review/standins-3/flows.py
+++ b/review/standins-3/flows.py
@@ -85,8 +85,10 @@
         self.is_open = False
         self.request = b""
         self.answer = None
+        self.answer_seq = self.own_seq + 1
         self.acked = False
         self.opened_at = None
+        self.opened_through = None
 
 
 class Endpoint(asyncio.DatagramProtocol):
@@ -99,6 +101,7 @@
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.slow_s = 0.0
+        self.is_dark = False
         self.sequence = 0
         self.runs = []
         self.openings = []
@@ -115,9 +118,20 @@
             lambda: self, local_addr=self.address
         )
 
-    def stop(self):
-        """End as a crash does."""
-        self._transport.close()
+    def crash(self):
+        """End without a word."""
+        self.is_dark = True
+        self._flows.clear()
+
+    def start_again(self):
+        """Begin a new incarnation after a crash."""
+        self.is_dark = False
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+
+    def holds_open(self, flow):
+        """Return whether a flow is open here, given its two ends."""
+        return flow in self._flows and self._flows[flow].is_open
 
     def entry(self):
         """Return what the endpoint writes into the store."""
@@ -141,6 +155,8 @@
     def datagram_received(self, datagram, sender):
         """Handle a packet that a machine of the system passed on."""
         intended = PREFIX.unpack_from(datagram)[0]
+        if self.is_dark:
+            return
         if intended not in (0, self.instance):
             return
         packet = Packet.decode(datagram[PREFIX.size :])
@@ -167,6 +183,7 @@
         if not flow.is_open and packet.ack == (flow.own_seq + 1) % MODULUS:
             flow.is_open = True
             flow.opened_at = time.monotonic()
+            flow.opened_through = sender[0]
         if packet.flags & RST:
             del self._flows[packet.flow]
             return
@@ -176,32 +193,38 @@
             flow.peer_seq += len(packet.data)
             flow.request += packet.data
             if flow.request.endswith(b"\r\n.\r\n"):
-                asyncio.ensure_future(self._run(packet, flow, sender))
-        elif packet.data and flow.answer:
-            self._send(packet, flow, ACK, flow.own_seq + 1, flow.answer)
+                request, flow.request = flow.request, b""
+                asyncio.ensure_future(self._run(packet, flow, sender, request))
+        elif packet.data and flow.answer and not flow.acked:
+            self._send(packet, flow, ACK, flow.answer_seq, flow.answer)
         if packet.flags & FIN:
             self._send(packet, flow, FIN | ACK, self._end(flow))
 
     def _end(self, flow):
-        return (flow.own_seq + 1 + len(flow.answer or b"")) % MODULUS
+        return (flow.answer_seq + len(flow.answer or b"")) % MODULUS
 
-    async def _run(self, packet, flow, sender):
+    async def _run(self, packet, flow, sender, request):
+        ident, _, *work_ms = request.decode().split()[:3]
+        work_s = int(work_ms[0]) / 1000 if work_ms[0] != "." else self.work_s
         async with self._slots:
-            request = flow.request.decode().split()[0]
-            self.runs.append((time.monotonic(), request, sender[0]))
-            self._record("ran", endpoint=self.ident, zone=self.zone, request=request)
-            await asyncio.sleep(self.work_s)
-        flow.answer = f"done {request} by {self.ident}\r\n.\r\n".encode()
-        delay_s = 0.2
+            self.runs.append((time.monotonic(), ident, sender[0]))
+            self._record("ran", endpoint=self.ident, zone=self.zone, request=ident)
+            await asyncio.sleep(work_s)
+        flow.answer_seq = self._end(flow)
+        flow.answer = f"done {ident} by {self.ident}\r\n.\r\n".encode()
+        flow.acked = False
+        answer, delay_s = flow.answer, 0.2
         for _ in range(8):
-            self._send(packet, flow, ACK, flow.own_seq + 1, flow.answer)
+            self._send(packet, flow, ACK, flow.answer_seq, answer)
             await asyncio.sleep(delay_s)
-            if flow.acked or packet.flow not in self._flows:
+            if flow.acked or flow.answer is not answer:
+                return
+            if self._flows.get(packet.flow) is not flow:
                 return
             delay_s = min(delay_s * 2, 1.6)
 
     def _send(self, packet, flow, flags, number_of, data=b""):
-        if self._transport.is_closing():
+        if self.is_dark:
             return
         answer = Packet(
             packet.dst,
@@ -256,11 +279,9 @@
 
     async def request(self, node, target, label, deadline_s=2.0):
         """Open a flow through a machine of the system and send one request."""
-        self._next_port += 1
+        port, inbox = self.take_port()
         self._count += 1
-        port = self._next_port
         ident = f"{self._host}-{self._count}"
-        inbox = self._inboxes[port] = asyncio.Queue()
         outcome = Outcome(ident, time.monotonic())
         attempt = _Attempt(self, node, target, port, inbox, outcome)
         try:
@@ -268,7 +289,7 @@
         except TimeoutError:
             pass
         finally:
-            del self._inboxes[port]
+            self.give_back_port(port)
         self._record(
             "request",
             request=ident,
@@ -280,6 +301,16 @@
         )
         return outcome
 
+    def take_port(self):
+        """Return an unused port and the queue of the packets that come for it."""
+        self._next_port += 1
+        inbox = self._inboxes[self._next_port] = asyncio.Queue()
+        return self._next_port, inbox
+
+    def give_back_port(self, port):
+        """Drop what comes for a port from now on."""
+        del self._inboxes[port]
+
     def send(self, node, packet):
         """Send a packet to a machine of the system."""
         self._transport.sendto(packet.encode(), node)
@@ -305,7 +336,7 @@
         self._outcome.opened = True
         self._outcome.verdict = "open, no answer"
         self._echo = opening.echo
-        data = f"{self._outcome.ident} do\r\n.\r\n".encode()
+        data = f"{self._outcome.ident} do .\r\n.\r\n".encode()
         delay_s, expected = 0.2, (opening.seq + 1) % MODULUS
         while True:
             self._send(ACK, self._seq + 1, expected, data)
@@ -354,3 +385,64 @@
     def _send(self, flags, seq, ack, data=b""):
         packet = Packet(*self._ends, seq, ack, flags, self._echo, data)
         self._client.send(self._node, packet)
+
+
+class KeptFlow(_Attempt):
+    """A flow that its client keeps open for many requests."""
+
+    def __init__(self, client, node, target):
+        port, inbox = client.take_port()
+        super().__init__(client, node, target, port, inbox, Outcome("kept", 0.0))
+        self._began_at = time.monotonic()
+        self._peer_seq = 0
+
+    @property
+    def ends(self):
+        """Both ends, as the client sees them."""
+        return self._ends
+
+    @property
+    def age_s(self):
+        """How long ago the flow was begun."""
+        return time.monotonic() - self._began_at
+
+    @property
+    def waited_s(self):
+        """How long the latest request has been under way."""
+        return time.monotonic() - self._outcome.sent_at
+
+    async def open(self):
+        """Open the flow; return whether it is open."""
+        opening = await self._open()
+        if opening is None:
+            return False
+        self._echo, self._peer_seq = opening.echo, opening.seq + 1
+        self._seq += 1
+        self._send(ACK, self._seq, self._peer_seq)
+        return True
+
+    async def call(self, work_ms, deadline_s=3.2):
+        """Send a request; return "served", "timeout", or who reset the flow."""
+        self._outcome.sent_at = time.monotonic()
+        data = f"{self._ends[1]} do {work_ms}\r\n.\r\n".encode()
+        delay_s = 0.2
+        while (left_s := deadline_s - self.waited_s) > 0:
+            self._send(ACK, self._seq, self._peer_seq, data)
+            packet = await self._receive(min(delay_s, left_s))
+            delay_s = min(delay_s * 2, 1.6)
+            while packet is not None:
+                if packet.flags & RST:
+                    who = "its endpoint" if packet.sum_is_right else "the system"
+                    return f"reset by {who}"
+                if packet.data and packet.seq == self._peer_seq % MODULUS:
+                    self._seq += len(data)
+                    self._peer_seq += len(packet.data)
+                    self._send(ACK, self._seq, self._peer_seq)
+                    return "served"
+                packet = await self._receive(delay_s)
+        return "timeout"
+
+    def close(self):
+        """End the flow."""
+        self._send(FIN | ACK, self._seq, self._peer_seq)
+        self._client.give_back_port(self._ends[1])
