Carry the era of the registry's revisions, without using it yet

Callers see nothing of this.

One test compares the headers of a response too now.

Tests of the adapter, gossip, discovery and start pass.

--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -13,7 +13,12 @@
 from thrift.TSerialization import deserialize, serialize
 
 from egrethook.addresses import Address
-from egrethook.discovery.records import Changes, ItemKind, PublishedItem
+from egrethook.discovery.records import (
+    Changes,
+    ItemKind,
+    PublishedItem,
+    StateVersion,
+)
 from egrethook.exceptions import BadMessageError
 from egrethook.upstreams.health import HealthObservation
 from egrethook.upstreams.speeds import SpeedEstimate
@@ -94,6 +99,8 @@
         Time since that revision was known to be current, in seconds.
     asks : bool
         Whether the sender requests the changes after its revision.
+    era : int
+        The registry's era to which the revision belongs.
     """
 
     sender: MemberInfo
@@ -101,6 +108,12 @@
     age_s: float
     members: tuple[MemberInfo, ...]
     asks: bool = False
+    era: int = 0
+
+    @property
+    def version(self) -> StateVersion:
+        """The state that the sender holds."""
+        return StateVersion(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,12 +126,15 @@
         Time since they were known to be current, in seconds.
     part, parts : int
         Number of this part, from 0, and of all parts.
+    era_age_s : float
+        Time for which the registry's era is known to have begun, in seconds.
     """
 
     changes: Changes
     age_s: float
     part: int = 0
     parts: int = 1
+    era_age_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,6 +284,7 @@
         age_ms=_encode_age(digest.age_s),
         members=[_encode_member(member) for member in digest.members],
         asks=digest.asks,
+        era=digest.era,
     )
 
 
@@ -278,6 +295,7 @@
         _decode_age(encoded.age_ms),
         tuple(_decode_member(member) for member in encoded.members),
         bool(encoded.asks),
+        _checked_era(encoded.era),
     )
 
 
@@ -300,6 +318,8 @@
         replaces=changes.replaces,
         part=delta.part,
         parts=delta.parts,
+        era=changes.era,
+        era_age_ms=_encode_age(delta.era_age_s),
     )
 
 
@@ -310,13 +330,20 @@
         _checked_revision(encoded.revision),
         items,
         bool(encoded.replaces),
+        _checked_era(encoded.era),
     )
     part, parts = encoded.part, encoded.parts
     if not 0 <= part < parts <= DELTA_MAX_PARTS:
         raise ValueError(
             f"part {part} of {parts} out of range: expected up to {DELTA_MAX_PARTS}"
         )
-    return Delta(changes, _decode_age(encoded.age_ms), part, parts)
+    return Delta(
+        changes,
+        _decode_age(encoded.age_ms),
+        part,
+        parts,
+        _decode_age(encoded.era_age_ms),
+    )
 
 
 def _encode_report(report: UpstreamReport) -> ttypes.UpstreamReport:
@@ -427,6 +454,12 @@
     return number
 
 
+def _checked_era(number: int) -> int:
+    if number < 0:
+        raise ValueError(f"era {number} is negative")
+    return number
+
+
 def _checked_token(number: int) -> int:
     if not 0 < number < 2**32:
         raise ValueError(f"token {number} out of range: expected 1 to 2**32 - 1")
--- a/egrethook/discovery/http_exchange.py
+++ b/egrethook/discovery/http_exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 import httptools
@@ -13,11 +15,15 @@
 )
 
 
+_NO_HEADERS: Mapping[bytes, bytes] = MappingProxyType({})
+
+
 class HttpResponse(NamedTuple):
-    """The response to one request."""
+    """The response to one request; names of headers are in lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[bytes, bytes] = _NO_HEADERS
 
 
 def request_bytes(host: str, path: str, **query: object) -> bytes:
@@ -46,8 +52,8 @@
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
+        self._headers: dict[bytes, bytes] = {}
         self._headers_complete = False
-        self._has_length = False
         self._complete = False
         self._keeps_connection = False
 
@@ -59,8 +65,8 @@
     # Parser callbacks.
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Note whether the length of the body is known."""
-        self._has_length = self._has_length or name.lower() in _LENGTH_HEADERS
+        """Keep a header; of several with one name, the last."""
+        self._headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         """Mark the headers as complete."""
@@ -84,7 +90,8 @@
             If the bytes are not valid HTTP, or are empty because the connection
             was closed before the response was complete.
         """
-        if not data and self._headers_complete and not self._has_length:
+        has_length = not _LENGTH_HEADERS.isdisjoint(self._headers)
+        if not data and self._headers_complete and not has_length:
             return self._response()
         if not data:
             raise SourceUnavailableError(
@@ -99,4 +106,5 @@
         return self._response()
 
     def _response(self) -> HttpResponse:
-        return HttpResponse(self._parser.get_status_code(), bytes(self._body))
+        status = self._parser.get_status_code()
+        return HttpResponse(status, bytes(self._body), self._headers)
--- a/egrethook/discovery/records.py
+++ b/egrethook/discovery/records.py
@@ -21,6 +21,18 @@
     DOMAIN_OUT = 3
 
 
+class StateVersion(NamedTuple):
+    """Names a state of the registry; ordered by era, then by revision.
+
+    A registry that comes back from an older copy of its state begins a new era, in
+    which it gives out revisions again. `era` is 0 for a registry without eras, and
+    `revision` is 0 if nothing is held.
+    """
+
+    era: int
+    revision: int
+
+
 class PublishedItem(NamedTuple):
     """A published item, with the revision of its last change.
 
@@ -34,14 +46,15 @@
 
 
 class Snapshot(NamedTuple):
-    """All items, complete up to a revision."""
+    """All items, complete up to a revision of an era."""
 
     items: Sequence[PublishedItem]
     revision: int
+    era: int = 0
 
 
 class Changes(NamedTuple):
-    """The items that changed after one revision, up to and including another.
+    """The items that changed after one revision of an era, up to and including another.
 
     `replaces` is True if removals may be missing. The items then replace all that a
     reader holds of revisions after `after` and up to `revision`.
@@ -51,6 +64,7 @@
     revision: int
     items: Sequence[PublishedItem]
     replaces: bool = False
+    era: int = 0
 
 
 class UpstreamPhase(enum.Enum):
--- a/egrethook/platform/store_reading.py
+++ b/egrethook/platform/store_reading.py
@@ -27,6 +27,12 @@
 MAX_PAGES = 1_000
 """Maximum number of pages of one read."""
 
+ERA_HEADER = b"store-era"
+"""Header with the store's era, a whole number; absent if the store has none."""
+
+MAX_ERA = 2**63 - 1
+"""Largest era that fits gossip messages."""
+
 _HTTP_OK = 200
 _HTTP_GONE = 410
 
@@ -48,7 +54,23 @@
     # `currentRev` may be ahead of events that this watch has not received yet, so
     # only the revisions of received events count.
     newest_revision = max((event.revision for event in body.events), default=after)
-    return Changes(after, max(after, newest_revision), _items(body.events))
+    revision = max(after, newest_revision)
+    return Changes(after, revision, _items(body.events), era=read_era(response))
+
+
+def read_era(response: HttpResponse) -> int:
+    """Return the store's era; 0 if the store has none.
+
+    Raises
+    ------
+    SourceUnavailableError
+        If it is not a whole number up to `MAX_ERA`.
+    """
+    text = response.headers.get(ERA_HEADER, b"0").strip()
+    is_number = text.isdigit() and len(text) <= len(str(MAX_ERA))
+    if not is_number or int(text) > MAX_ERA:
+        raise SourceUnavailableError(f"invalid era of the store: {text[:40]!r}")
+    return int(text)
 
 
 class RangeReading:
@@ -58,6 +80,7 @@
         self._items: list[PublishedItem] = []
         self._after = ""
         self._revision: int | None = None
+        self._era = 0
         self._complete = False
         self._pages = 0
 
@@ -83,14 +106,21 @@
 
         Raises
         ------
-        HistoryLostError, SourceUnavailableError
+        HistoryLostError
+            If the store has begun a new era since the first page.
+        SourceUnavailableError
             If the response is an error or is not valid, or there are too many pages.
         """
         body = _decode(_RANGE_DECODER, response)
+        era = read_era(response)
         if body.has_more and not body.items:
             raise SourceUnavailableError("the store returned an empty page of several")
         if self._revision is None:
-            self._revision = body.current_rev
+            self._revision, self._era = body.current_rev, era
+        if era != self._era:
+            raise HistoryLostError(
+                f"the store's era changed from {self._era} to {era} between two pages"
+            )
         self._items += _items(body.items)
         self._pages += 1
         self._complete = not body.has_more
@@ -103,7 +133,7 @@
 
     def snapshot(self) -> Snapshot:
         """Return the items read; they are complete up to the first page's revision."""
-        return Snapshot(self._items, self._revision or 0)
+        return Snapshot(self._items, self._revision or 0, self._era)
 
 
 def _items(events: list[Event]) -> list[PublishedItem]:
--- a/egrethook/wire/gossip/ttypes.py
+++ b/egrethook/wire/gossip/ttypes.py
@@ -136,16 +136,18 @@
      - age_ms
      - members
      - asks
+     - era
 
     """
 
 
-    def __init__(self, sender=None, revision=None, age_ms=None, members=None, asks=None,):
+    def __init__(self, sender=None, revision=None, age_ms=None, members=None, asks=None, era=None,):
         self.sender = sender
         self.revision = revision
         self.age_ms = age_ms
         self.members = members
         self.asks = asks
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -188,6 +190,11 @@
                     self.asks = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -221,6 +228,10 @@
             oprot.writeFieldBegin('asks', TType.BOOL, 5)
             oprot.writeBool(self.asks)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 6)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -339,11 +350,13 @@
      - replaces
      - part
      - parts
+     - era
+     - era_age_ms
 
     """
 
 
-    def __init__(self, after=None, revision=None, age_ms=None, items=None, replaces=None, part=None, parts=None,):
+    def __init__(self, after=None, revision=None, age_ms=None, items=None, replaces=None, part=None, parts=None, era=None, era_age_ms=None,):
         self.after = after
         self.revision = revision
         self.age_ms = age_ms
@@ -351,6 +364,8 @@
         self.replaces = replaces
         self.part = part
         self.parts = parts
+        self.era = era
+        self.era_age_ms = era_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -402,6 +417,16 @@
                     self.parts = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.era_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -443,6 +468,14 @@
             oprot.writeFieldBegin('parts', TType.I32, 7)
             oprot.writeI32(self.parts)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 8)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.era_age_ms is not None:
+            oprot.writeFieldBegin('era_age_ms', TType.I32, 9)
+            oprot.writeI32(self.era_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -989,6 +1022,7 @@
     (3, TType.I32, 'age_ms', None, None, ),  # 3
     (4, TType.LIST, 'members', (TType.STRUCT, [MemberInfo, None], False), None, ),  # 4
     (5, TType.BOOL, 'asks', None, None, ),  # 5
+    (6, TType.I64, 'era', None, None, ),  # 6
 )
 all_structs.append(Item)
 Item.thrift_spec = (
@@ -1008,6 +1042,8 @@
     (5, TType.BOOL, 'replaces', None, None, ),  # 5
     (6, TType.I32, 'part', None, None, ),  # 6
     (7, TType.I32, 'parts', None, None, ),  # 7
+    (8, TType.I64, 'era', None, None, ),  # 8
+    (9, TType.I32, 'era_age_ms', None, None, ),  # 9
 )
 all_structs.append(UpstreamReport)
 UpstreamReport.thrift_spec = (
--- a/idl/gossip.thrift
+++ b/idl/gossip.thrift
@@ -17,6 +17,7 @@
   3: i32 age_ms,
   4: list<MemberInfo> members,
   5: bool asks,
+  6: i64 era,
 }
 
 struct Item {
@@ -34,6 +35,8 @@
   5: bool replaces,
   6: i32 part,
   7: i32 parts,
+  8: i64 era,
+  9: i32 era_age_ms,
 }
 
 struct UpstreamReport {
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -446,6 +446,13 @@
     assert decode(encode(delta)) == delta
 
 
+def test_messages_carry_the_era_of_their_revisions():
+    digest = Digest(member(1), 9, 0.25, (), era=2**62)
+    assert decode(encode(digest)) == digest
+    delta = Delta(Changes(0, 5, [item("a", 4)], True, era=3), 0.5, era_age_s=1.25)
+    assert decode(encode(delta)) == delta
+
+
 def test_large_delta_is_compressed():
     record = b'{"service":"orders","zone":"a","state":"ready","sequence":%d}'
     items = [item(f"up-{n}", n, record % n) for n in range(1, 100)]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -69,9 +69,12 @@
     return {"key": key, "value": encoded, "revision": revision, "created": 1, **more}
 
 
-def page(*items, revision=9, more=False):
+ERA = b"store-era"
+
+
+def page(*items, revision=9, more=False, headers=None):
     body = {"items": items, "hasMore": more, "currentRev": revision}
-    return HttpResponse(200, value(body))
+    return HttpResponse(200, value(body), headers or {})
 
 
 def test_decode_of_the_published_example_gives_its_fields():
@@ -252,11 +255,41 @@
         read_watch(HttpResponse(410, b""), after=1)
 
 
+@pytest.mark.parametrize(
+    ("headers", "era"), [({}, 0), ({ERA: b"0"}, 0), ({ERA: b" 12 "}, 12)]
+)
+def test_answers_name_the_era_of_their_revisions(headers, era):
+    """Guards against revisions that are compared across eras."""
+    reading = RangeReading()
+    reading.take(page(headers=headers))
+    assert reading.snapshot().era == era
+    body = value({"events": [], "currentRev": 7})
+    assert read_watch(HttpResponse(200, body, headers), after=5).era == era
+
+
+@pytest.mark.parametrize(
+    "text", [b"", b"-1", b"1.5", b"two", b"1e3", b"9" * 40, str(2**63).encode()]
+)
+def test_era_that_is_no_whole_number_is_a_failed_read(text):
+    body = value({"events": [], "currentRev": 7})
+    with pytest.raises(SourceUnavailableError, match="E501: invalid era"):
+        read_watch(HttpResponse(200, body, {ERA: text}), after=5)
+
+
+def test_pages_of_two_eras_make_no_snapshot():
+    """Guards against a snapshot that joins the states before and after a return."""
+    first, second = event("servers/i-0", 3, SERVER), event("servers/i-1", 3, SERVER)
+    reading = RangeReading()
+    reading.take(page(first, more=True, headers={ERA: b"1"}))
+    with pytest.raises(HistoryLostError):
+        reading.take(page(second, headers={ERA: b"2"}))
+
+
 def test_response_received_bytewise_is_returned_after_the_last_byte():
     raw = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
     reader = ResponseReader()
     parts = [reader.feed(raw[n : n + 1]) for n in range(len(raw))]
-    assert parts[-1] == HttpResponse(200, b"hello")
+    assert parts[-1] == HttpResponse(200, b"hello", {b"content-length": b"5"})
     assert set(parts[:-1]) == {None}
 
 
