--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -60,15 +60,13 @@
         """Merge changes and return the items that changed.
 
         Changes that start after the held revision are merged too, but leave a
-        gap and so do not advance `revision`. An item that is not held although its
-        revision is covered was deleted since, and stays so: its tombstone may have
-        been dropped, or never have been received, as after a snapshot. What changes
-        that replace the items of their revisions lack is deleted.
+        gap and so do not advance `revision`. An item whose revision is covered is held
+        already, or was changed or deleted since: its tombstone may have been dropped,
+        or never have been received, as after a snapshot. What changes that replace the
+        items of their revisions lack is deleted.
         """
         changed = self._merge(
-            item
-            for item in changes.items
-            if item.revision > self._revision or (item.kind, item.name) in self._items
+            item for item in changes.items if item.revision > self._revision
         )
         if changes.after > self._revision or changes.revision <= self._revision:
             return changed
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -95,6 +95,19 @@
     assert names(restarted) == {"a", "b"}
 
 
+def test_late_change_does_not_undo_a_removal_that_a_snapshot_skipped():
+    """Guards against a record that left twice and is in use again for good.
+
+    The copy has the first removal, and jumps over the return and the second removal.
+    """
+    copy = Catalog()
+    copy.merge_changes(Changes(0, 3, [item("a", 3, None), item("b", 2)]))
+    copy.merge_snapshot(Snapshot([item("b", 2)], 6))
+    late = Changes(0, 4, [item("a", 4), item("b", 2)])
+    assert copy.merge_changes(late) == []
+    assert names(copy) == {"b"}
+
+
 def test_items_that_a_snapshot_deletes_at_once_are_not_separated():
     """Guards against lost deletions: they have one revision, and none is above it."""
     source, target = Catalog(), Catalog()
