Take no tombstone for the presence of an item in a state that replaces another

Cause: a state that replaces a stretch of revisions may carry the tombstone of an earlier removal of an item. Its name counted as present, so what the receiver held of the return in between was kept, though the sender's state lacks it.

Change: only items with a value are present. The new test failed before.

--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -112,8 +112,11 @@
     def _delete_missing(
         self, present: Sequence[PublishedItem], after: int, revision: int
     ) -> list[PublishedItem]:
-        """Delete what is held of a stretch of revisions and is not present."""
-        keys = {(item.kind, item.name) for item in present}
+        """Delete what is held of a stretch of revisions and is not present.
+
+        A tombstone among the present items may be of an earlier removal.
+        """
+        keys = {(item.kind, item.name) for item in present if item.value is not None}
         return self._merge(
             [
                 PublishedItem(item.kind, item.name, revision, None)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -108,6 +108,20 @@
     assert names(copy) == {"b"}
 
 
+def test_state_with_an_earlier_removal_of_an_item_still_removes_it():
+    """Guards against a record that left twice and is in use again for good.
+
+    The sender has the tombstone of the first removal, the receiver the return.
+    """
+    source, target = Catalog(), Catalog()
+    source.merge_changes(Changes(0, 3, [item("b", 2), item("a", 3, None)]))
+    target.merge_snapshot(Snapshot([item("b", 2), item("a", 4)], 4))
+    source.merge_snapshot(Snapshot([item("b", 2)], 5))
+    target.merge_changes(source.changes_since(2, 1_000))
+    assert names(target) == names(source) == {"b"}
+    assert target.revision == 5
+
+
 def test_items_that_a_snapshot_deletes_at_once_are_not_separated():
     """Guards against lost deletions: they have one revision, and none is above it."""
     source, target = Catalog(), Catalog()
