--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -27,7 +27,7 @@
 from egrethook.clock import Clock
 from egrethook.datagrams import DatagramSocket
 from egrethook.discovery.catalog import item_size
-from egrethook.discovery.records import Changes, PublishedItem
+from egrethook.discovery.records import Changes, PublishedItem, StateVersion
 from egrethook.discovery.replica import Replica
 from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import BadMessageError
@@ -156,7 +156,7 @@
                 with self._message_errors:
                     self._handle(datagram, Address(*source))
 
-    def propagate(self, items: Sequence[PublishedItem], previous_revision: int) -> None:
+    def propagate(self, items: Sequence[PublishedItem], previous: StateVersion) -> None:
         """Push changes that have just been merged.
 
         If the revision has advanced, all changes since the previous one are pushed,
@@ -167,13 +167,13 @@
         ----------
         items : sequence of PublishedItem
             The items that changed.
-        previous_revision : int
-            The revision held before the merge; 0 if nothing was held.
+        previous : StateVersion
+            The state held before the merge.
         """
         now = self._clock.now()
-        if not items or not previous_revision:
+        if not items or not previous.revision:
             return
-        changes = self._changes_to_push(items, previous_revision)
+        changes = self._changes_to_push(items, previous.revision)
         if changes is None or _total_size(changes.items) > PUSH_MAX_BYTES:
             # Send only a digest: members that lack a large change request it
             # once instead of receiving it from several members.
@@ -189,7 +189,8 @@
         revision = self._replica.revision
         if revision == previous_revision:
             # They follow a gap and prove nothing about the revision.
-            return Changes(revision, revision, items)
+            era = self._replica.version.era
+            return Changes(revision, revision, items, era=era)
         catalog = self._replica.catalog
         changes = catalog.changes_since(previous_revision, PUSH_MAX_BYTES)
         return changes if changes.revision == revision else None
--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -6,7 +6,13 @@
 from collections.abc import Iterable, Sequence
 
 from egrethook.discovery.history_gaps import HistoryGaps
-from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
+from egrethook.discovery.records import (
+    Changes,
+    ItemKind,
+    PublishedItem,
+    Snapshot,
+    StateVersion,
+)
 
 TOMBSTONE_LIMIT = 5_000
 """Maximum number of tombstones (deleted items) kept."""
@@ -23,15 +29,21 @@
 
 
 class Catalog:
-    """The newest revision of each item, complete up to `revision`.
+    """The newest revision of each item in one era, complete up to `revision`.
 
     Items arrive from the registry and from other balancers in any order. The
     newer revision of an item wins, so an item never reverts. What a snapshot doesn't
     show, items that were added and removed since the revision held before, is
     remembered as a gap in the history.
+
+    Parameters
+    ----------
+    era : int
+        The registry's era to which all revisions belong.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, era: int = 0) -> None:
+        self._era = era
         self._items: dict[ItemKey, PublishedItem] = {}
         self._tombstones: OrderedDict[ItemKey, int] = OrderedDict()
         self._revision = 0
@@ -42,10 +54,33 @@
         """The revision up to which every change is held; 0 if nothing is held."""
         return self._revision
 
+    @property
+    def version(self) -> StateVersion:
+        """The state up to which every change is held."""
+        return StateVersion(self._era, self._revision)
+
     def get(self, kind: ItemKind, name: str) -> PublishedItem | None:
         """Return an item, or its tombstone if it was deleted."""
         return self._items.get((kind, name))
 
+    def difference_from(self, other: Catalog) -> list[PublishedItem]:
+        """Return what differs from a copy of another era.
+
+        These are the items with other values there, and tombstones of those that only
+        the other copy holds.
+        """
+        missing = [
+            PublishedItem(*key, self._revision, None)
+            for key, item in other._items.items()
+            if item.value is not None and key not in self._items
+        ]
+        changed = [
+            item
+            for key, item in self._items.items()
+            if key not in other._items or other._items[key].value != item.value
+        ]
+        return missing + changed
+
     def merge_snapshot(self, snapshot: Snapshot) -> list[PublishedItem]:
         """Merge a snapshot and return the items that changed.
 
@@ -96,13 +131,15 @@
         newer = [item for item in self._items.values() if item.revision > start]
         newer.sort(key=lambda item: item.revision)
         if self._gaps.between(start, self._revision):
-            return Changes(start, self._revision, newer, replaces=True)
+            return Changes(start, self._revision, newer, True, self._era)
         count = _count_within(newer, limit_bytes)
         if count == len(newer):
-            return Changes(after, max(after, self._revision), newer)
+            revision = max(after, self._revision)
+            return Changes(after, revision, newer, era=self._era)
         # Items newer than `revision` may follow a gap.
         complete_to = min(newer[count - 1].revision, self._revision)
-        return Changes(after, max(after, complete_to), newer[:count])
+        revision = max(after, complete_to)
+        return Changes(after, revision, newer[:count], era=self._era)
 
     def _skip_to(self, revision: int) -> None:
         """Advance to a revision whose state is known, but not the way to it."""
--- a/egrethook/discovery/follower.py
+++ b/egrethook/discovery/follower.py
@@ -65,6 +65,7 @@
         self._reachable: bool | None = None
         self._needs_snapshot = False
         self._consecutive_failures = 0
+        self._snapshots_in_a_row = 0
         self._read_errors = ErrorBoundary(_LOG, "registry read")
 
     async def run(self) -> None:
@@ -76,20 +77,16 @@
                     continue
                 try:
                     changed = await self._read()
-                except HistoryLostError:
-                    _LOG.warning(
-                        "registry history lost; reading a full snapshot.",
-                        revision=self._replica.revision,
-                    )
-                    self._needs_snapshot = True
+                except HistoryLostError as error:
+                    await self._request_snapshot(error.args[0])
                 except SourceUnavailableError as error:
                     self._record_failure(error.args[0])
-                    await anyio.sleep(self._backoff_s())
+                    await anyio.sleep(self._backoff_s(self._consecutive_failures))
                 except Exception as error:
                     self._read_errors.note(error)
                     self._record_failure(type(error).__name__)
                     self._needs_snapshot = True
-                    await anyio.sleep(self._backoff_s())
+                    await anyio.sleep(self._backoff_s(self._consecutive_failures))
                 else:
                     self._record_success()
                     if changed:
@@ -105,21 +102,49 @@
         """
         if self._needs_snapshot or not self._replica.revision:
             snapshot = await self._source.snapshot()
+            self._check_era(snapshot.era)
             self._replica.apply_snapshot(snapshot, self._clock.now())
             self._needs_snapshot = False
             return False
         # Confirm a stale replica at once instead of waiting for a change.
         stale = self._replica.age(self._clock.now()) > 2 * WATCH_TIMEOUT_S
         wait_s = 0.0 if stale else WATCH_TIMEOUT_S
-        changes = await self._source.changes(self._replica.revision, wait_s)
+        asked = self._replica.version
+        changes = await self._source.changes(asked.revision, wait_s)
+        if changes.era != asked.era:
+            # The revision asked for means another state there.
+            self._check_era(changes.era)
+            raise HistoryLostError(
+                f"the registry's era changed from {asked.era} to {changes.era}"
+            )
+        self._snapshots_in_a_row = 0
         self._replica.apply_changes(changes, self._clock.now())
         return bool(changes.items)
 
-    def _backoff_s(self) -> float:
-        shortest_s, longest_s = BACKOFF_RANGE_S
-        backoff_s = min(
-            longest_s, shortest_s * 2.0 ** min(self._consecutive_failures, 8)
+    def _check_era(self, era: int) -> None:
+        """Refuse an answer that belongs to an earlier era than what is held."""
+        held = self._replica.version.era
+        if era < held:
+            raise SourceUnavailableError(
+                f"the registry answered from era {era}, before the known era {held}"
+            )
+
+    async def _request_snapshot(self, reason: str) -> None:
+        """Read a snapshot next, with a growing delay while no change is read."""
+        _LOG.warning(
+            "registry history lost; reading a full snapshot.",
+            reason=reason,
+            era=self._replica.version.era,
+            revision=self._replica.revision,
         )
+        self._needs_snapshot = True
+        if self._snapshots_in_a_row:
+            await anyio.sleep(self._backoff_s(self._snapshots_in_a_row))
+        self._snapshots_in_a_row += 1
+
+    def _backoff_s(self, repetitions: int) -> float:
+        shortest_s, longest_s = BACKOFF_RANGE_S
+        backoff_s = min(longest_s, shortest_s * 2.0 ** min(repetitions, 8))
         return backoff_s * self._rng.uniform(0.6, 1.0)
 
     def _record_failure(self, reason: str) -> None:
--- a/egrethook/discovery/replica.py
+++ b/egrethook/discovery/replica.py
@@ -5,15 +5,26 @@
 from collections.abc import Callable, Sequence
 
 from egrethook.discovery.catalog import Catalog
-from egrethook.discovery.records import Changes, PublishedItem, Snapshot
+from egrethook.discovery.records import (
+    Changes,
+    PublishedItem,
+    Snapshot,
+    StateVersion,
+)
+from egrethook.logs import PartLog
 
-Listener = Callable[[Sequence[PublishedItem], int], None]
-"""Called with the changed items and the revision held before the change."""
+Listener = Callable[[Sequence[PublishedItem], StateVersion], None]
+"""Called with the changed items and the state held before the change."""
+
+_LOG = PartLog("replica")
 
 
 class Replica:
     """Merges registry snapshots and changes, also those from other balancers.
 
+    It holds the state of one era of the registry. What belongs to an earlier one is
+    ignored; a later one begins with a whole state, which replaces what is held.
+
     Parameters
     ----------
     listener : callable
@@ -36,6 +47,11 @@
         """The revision up to which every change is held."""
         return self._catalog.revision
 
+    @property
+    def version(self) -> StateVersion:
+        """The state up to which every change is held."""
+        return self._catalog.version
+
     def age(self, now: float) -> float:
         """Return the time since the replica was known to be current, in seconds."""
         return now - self._confirmed_at
@@ -54,21 +70,28 @@
         self._confirmed_at = float("-inf")
 
     def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
-        """Merge a registry snapshot."""
+        """Merge a registry snapshot, or begin the later era that it shows."""
+        previous = self.version
+        if snapshot.era < previous.era:
+            return
         self._changed_after = self._confirmed_at
-        previous_revision = self._catalog.revision
-        changed = self._catalog.merge_snapshot(snapshot)
+        if snapshot.era > previous.era:
+            changed = self._begin_era(snapshot)
+        else:
+            changed = self._catalog.merge_snapshot(snapshot)
         self._confirmed_at = max(self._confirmed_at, now)
-        self._notify(changed, previous_revision)
+        self._notify(changed, previous)
 
     def apply_changes(self, changes: Changes, known_at: float) -> None:
         """Merge changes that were current at `known_at`."""
+        previous = self.version
+        if changes.era != previous.era:
+            return
         self._changed_after = self._confirmed_at
-        previous_revision = self._catalog.revision
         changed = self._catalog.merge_changes(changes)
-        if changes.after <= previous_revision and changes.revision >= previous_revision:
+        if changes.after <= previous.revision <= changes.revision:
             self._confirmed_at = max(self._confirmed_at, known_at)
-        self._notify(changed, previous_revision)
+        self._notify(changed, previous)
 
     def confirm(self, revision: int, known_at: float) -> None:
         """Record that a revision was the newest one at `known_at`.
@@ -78,6 +101,23 @@
         if revision == self._catalog.revision:
             self._confirmed_at = max(self._confirmed_at, known_at)
 
-    def _notify(self, changed: Sequence[PublishedItem], previous_revision: int) -> None:
-        if changed or self._catalog.revision != previous_revision:
-            self._listener(changed, previous_revision)
+    def _begin_era(self, snapshot: Snapshot) -> list[PublishedItem]:
+        """Replace what is held of an earlier era; return the items that differ."""
+        earlier, self._catalog = self._catalog, Catalog(snapshot.era)
+        self._confirmed_at = float("-inf")
+        self._catalog.merge_snapshot(snapshot)
+        changed = self._catalog.difference_from(earlier)
+        if earlier.revision:
+            _LOG.info(
+                "the registry has begun a new era; its state replaces what is held.",
+                era=snapshot.era,
+                revision=snapshot.revision,
+                held_era=earlier.version.era,
+                held_revision=earlier.revision,
+                changed=len(changed),
+            )
+        return changed
+
+    def _notify(self, changed: Sequence[PublishedItem], previous: StateVersion) -> None:
+        if changed or self.version != previous:
+            self._listener(changed, previous)
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -16,7 +16,12 @@
 from egrethook.callers.segments import IPv4Endpoint, SegmentCodec
 from egrethook.clock import MonotonicClock
 from egrethook.datagrams import DatagramSocket
-from egrethook.discovery.records import ColdLimit, PublishedItem, RecordDecoder
+from egrethook.discovery.records import (
+    ColdLimit,
+    PublishedItem,
+    RecordDecoder,
+    StateVersion,
+)
 from egrethook.discovery.replica import Replica
 from egrethook.discovery.view import ForwardingView
 from egrethook.error_boundary import ErrorBoundary
@@ -53,8 +58,8 @@
 class ChangeListener(Protocol):
     """Called after each change of the replica."""
 
-    def __call__(self, items: Sequence[PublishedItem], previous_revision: int) -> None:
-        """Handle the changed items, given the revision held before."""
+    def __call__(self, items: Sequence[PublishedItem], previous: StateVersion) -> None:
+        """Handle the changed items, given the state held before."""
         ...
 
 
@@ -376,7 +381,7 @@
         self._listeners.append(listener)
 
     def _on_changes(
-        self, items: Sequence[PublishedItem], previous_revision: int
+        self, items: Sequence[PublishedItem], previous: StateVersion
     ) -> None:
         now = self._clock.now()
         self._view.update(items, now, self._replica.changed_after)
@@ -384,7 +389,7 @@
             self._update_view_trust(now)
         for listener in self._listeners:
             with self._listener_errors:
-                listener(items, previous_revision)
+                listener(items, previous)
 
     def _log_first_flow(self) -> None:
         if self._dispatcher.known_flows:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,11 +14,12 @@
 from helpers import published_names as names
 from hypothesis import given
 from hypothesis import strategies as st
+from registry_harness import follow
 
 from egrethook.addresses import Address
 from egrethook.balancers.gossip_codec import Delta, decode, encode
 from egrethook.discovery.catalog import TOMBSTONE_LIMIT, Catalog
-from egrethook.discovery.follower import BATCH_DELAY_S, RegistryFollower
+from egrethook.discovery.follower import BATCH_DELAY_S
 from egrethook.discovery.http_client import HttpClient
 from egrethook.discovery.http_exchange import ResponseReader
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
@@ -347,25 +348,6 @@
         self.calls.append(("close",))
 
 
-class EventLoopClock:
-    def now(self):
-        return anyio.current_time()
-
-
-def follow(source, replica, seconds, must_read=lambda: True):
-    async def run():
-        follower = RegistryFollower(
-            source, replica, must_read, EventLoopClock(), random.Random(1)
-        )
-        with anyio.move_on_after(seconds):
-            await follower.run()
-
-    from trio.testing import MockClock
-
-    options = {"clock": MockClock(autojump_threshold=0.0)}
-    anyio.run(run, backend="trio", backend_options=options)
-
-
 def test_lost_history_triggers_a_new_snapshot():
     replica = Replica(lambda items, previous_revision: None)
     source = FakeSource(
