Let gossip order states by era, and pass on a later era as a whole

Cause: gossip named states by revision alone. Digests of all members stayed equal at the revision of the earlier era, so each confirmed the others as current, and a pushed entry below that revision counted as removed.

Change: digests and changes carry the era; a later one counts as ahead and is passed on as a whole state that replaces the copy, changes of an earlier one are dropped, equal revisions of two eras confirm nothing. What simulates gossip in tests moved to a module of its own.

--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -171,28 +171,30 @@
             The state held before the merge.
         """
         now = self._clock.now()
-        if not items or not previous.revision:
+        is_new_era = previous.era != self._replica.version.era
+        if not previous.revision or not (items or is_new_era):
             return
-        changes = self._changes_to_push(items, previous.revision)
+        changes = self._changes_to_push(items, previous)
         if changes is None or _total_size(changes.items) > PUSH_MAX_BYTES:
-            # Send only a digest: members that lack a large change request it
-            # once instead of receiving it from several members.
+            # Send only a digest: members that lack a large change, or a new era,
+            # request it once instead of receiving it from several members.
             self._send(self._digest(now), self._members.push_targets(now))
             return
         delta = Delta(changes, self._replica.age(now))
         self._send(delta, self._members.push_targets(now))
 
     def _changes_to_push(
-        self, items: Sequence[PublishedItem], previous_revision: int
+        self, items: Sequence[PublishedItem], previous: StateVersion
     ) -> Changes | None:
-        """Return the changes to push, or None if they are too many."""
-        revision = self._replica.revision
-        if revision == previous_revision:
+        """Return the changes to push, or None if they are too many or a whole state."""
+        era, revision = version = self._replica.version
+        if era != previous.era:
+            return None
+        if version == previous:
             # They follow a gap and prove nothing about the revision.
-            era = self._replica.version.era
             return Changes(revision, revision, items, era=era)
         catalog = self._replica.catalog
-        changes = catalog.changes_since(previous_revision, PUSH_MAX_BYTES)
+        changes = catalog.changes_since(previous.revision, PUSH_MAX_BYTES)
         return changes if changes.revision == revision else None
 
     def _handle(self, datagram: bytes, source: Address) -> None:
@@ -237,17 +239,17 @@
         # A sender whose record is taken as outdated is not answered: it may take this
         # balancer's record so too, and the answers would never end.
         is_new = not was_known and self._members.knows(digest.sender)
-        own_revision = self._replica.revision
-        if digest.asks and digest.revision < own_revision:
-            self._send_missing(target, digest.revision, now)
-        elif is_new or digest.revision < own_revision:
+        own_version = self._replica.version
+        if digest.asks and digest.version < own_version:
+            self._send_missing(target, digest.version, now)
+        elif is_new or digest.version < own_version:
             # A new member learns of other members from the answer, a lagging one
-            # that a newer revision exists.
+            # that a newer state exists.
             self._send(self._digest(now), [target])
-        if digest.revision > own_revision:
+        if digest.version > own_version:
             self._request_changes(target, now)
-        elif digest.revision == own_revision:
-            self._replica.confirm(own_revision, now - digest.age_s)
+        else:
+            self._replica.confirm(digest.version, now - digest.age_s)
 
     def _on_delta(self, delta: Delta, source: Address) -> None:
         now = self._clock.now()
@@ -257,43 +259,52 @@
             self._last_request_at = now
             return
         changes = whole.changes
-        if changes.replaces and changes.revision > self._replica.revision:
+        if changes.replaces and changes.version > self._replica.version:
             self._log_replacement(changes, source)
         self._replica.apply_changes(changes, now - whole.age_s)
-        if self._replica.revision < changes.revision:
+        if self._replica.version < changes.version:
             self._request_changes(source, now)
 
     def _log_replacement(self, changes: Changes, source: Address) -> None:
         _LOG.info(
             "a member's state replaces what may lack removals.",
             member=str(source),
+            held_era=self._replica.version.era,
             held_revision=self._replica.revision,
+            era=changes.era,
             after=changes.after,
             revision=changes.revision,
             items=len(changes.items),
         )
 
-    def _send_missing(self, target: Address, after: int, now: float) -> None:
-        changes = self._replica.catalog.changes_since(after, DELTA_MAX_BYTES)
+    def _send_missing(self, target: Address, held: StateVersion, now: float) -> None:
+        """Send what a member lacks that holds an older state."""
+        catalog = self._replica.catalog
+        if held.era == catalog.version.era:
+            changes = catalog.changes_since(held.revision, DELTA_MAX_BYTES)
+        else:
+            changes = catalog.whole_state()
         current = changes.revision == self._replica.revision
         age_s = self._replica.age(now) if current else float("inf")
         for delta in split_delta(changes, age_s):
             self._send(delta, [target])
 
     def _request_changes(self, target: Address, now: float) -> None:
-        """Request the missing changes from a member with a newer revision."""
+        """Request the missing changes from a member with a newer state."""
         if now - self._last_request_at < PULL_INTERVAL_S:
             return
         self._last_request_at = now
         self._send(self._digest(now, asks=True), [target])
 
     def _digest(self, now: float, asks: bool = False) -> Digest:
+        era, revision = self._replica.version
         return Digest(
             self._members.own,
-            self._replica.revision,
+            revision,
             self._replica.age(now),
             self._members.sample(now),
             asks,
+            era,
         )
 
     def _send(self, message: GossipMessage, targets: Sequence[Address]) -> None:
--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -141,6 +141,11 @@
         revision = max(after, complete_to)
         return Changes(after, revision, newer[:count], era=self._era)
 
+    def whole_state(self) -> Changes:
+        """Return all that is held, for a reader that holds nothing of this era."""
+        items = [item for item in self._items.values() if item.value is not None]
+        return Changes(0, self._revision, items, True, self._era)
+
     def _skip_to(self, revision: int) -> None:
         """Advance to a revision whose state is known, but not the way to it."""
         self._gaps.add(self._revision, revision)
--- a/egrethook/discovery/records.py
+++ b/egrethook/discovery/records.py
@@ -52,6 +52,11 @@
     revision: int
     era: int = 0
 
+    @property
+    def version(self) -> StateVersion:
+        """The state up to which every change is included."""
+        return StateVersion(self.era, self.revision)
+
 
 class Changes(NamedTuple):
     """The items that changed after one revision of an era, up to and including another.
@@ -66,6 +71,16 @@
     replaces: bool = False
     era: int = 0
 
+    @property
+    def version(self) -> StateVersion:
+        """The state up to which every change is included."""
+        return StateVersion(self.era, self.revision)
+
+    @property
+    def is_whole_state(self) -> bool:
+        """Whether the items are all that the registry held at the revision."""
+        return self.replaces and not self.after
+
 
 class UpstreamPhase(enum.Enum):
     """State that an upstream reports of itself."""
--- a/egrethook/discovery/replica.py
+++ b/egrethook/discovery/replica.py
@@ -83,8 +83,15 @@
         self._notify(changed, previous)
 
     def apply_changes(self, changes: Changes, known_at: float) -> None:
-        """Merge changes that were current at `known_at`."""
+        """Merge changes that were current at `known_at`.
+
+        A later era begins only with its whole state.
+        """
         previous = self.version
+        if changes.era > previous.era and changes.is_whole_state:
+            state = Snapshot(changes.items, changes.revision, changes.era)
+            self.apply_snapshot(state, known_at)
+            return
         if changes.era != previous.era:
             return
         self._changed_after = self._confirmed_at
@@ -93,12 +100,12 @@
             self._confirmed_at = max(self._confirmed_at, known_at)
         self._notify(changed, previous)
 
-    def confirm(self, revision: int, known_at: float) -> None:
-        """Record that a revision was the newest one at `known_at`.
+    def confirm(self, version: StateVersion, known_at: float) -> None:
+        """Record that a state was the newest one at `known_at`.
 
-        Ignored unless it is the revision held here.
+        Ignored unless it is the state held here.
         """
-        if revision == self._catalog.revision:
+        if version == self.version:
             self._confirmed_at = max(self._confirmed_at, known_at)
 
     def _begin_era(self, snapshot: Snapshot) -> list[PublishedItem]:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -22,7 +22,13 @@
 from egrethook.discovery.follower import BATCH_DELAY_S
 from egrethook.discovery.http_client import HttpClient
 from egrethook.discovery.http_exchange import ResponseReader
-from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
+from egrethook.discovery.records import (
+    Changes,
+    ItemKind,
+    PublishedItem,
+    Snapshot,
+    StateVersion,
+)
 from egrethook.discovery.replica import Replica
 from egrethook.exceptions import (
     HistoryLostError,
@@ -313,7 +319,7 @@
     dates = []
     replica = Replica(lambda items, previous: dates.append(replica.changed_after))
     replica.apply_snapshot(Snapshot([item("a", 1), item("b", 2)], 2), 1.0)
-    replica.confirm(2, 5.0)
+    replica.confirm(StateVersion(0, 2), 5.0)
     if by_snapshot:
         replica.apply_snapshot(Snapshot([item("b", 2)], 3), 7.1)
     else:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -10,9 +10,9 @@
 import contextlib
 import random
 import zlib
-from collections import Counter
 
 import pytest
+from gossip_harness import Fleet, member
 from helpers import published_item as item
 from helpers import published_names as names
 from hypothesis import given
@@ -26,13 +26,12 @@
     DeltaAssembly,
     split_delta,
 )
-from egrethook.balancers.gossip import REPORTS_PER_S, Gossip
+from egrethook.balancers.gossip import REPORTS_PER_S
 from egrethook.balancers.gossip_codec import (
     DATAGRAM_MAX_BYTES,
     MESSAGE_MAX_BYTES,
     Delta,
     Digest,
-    MemberInfo,
     OutlierReport,
     UpstreamReport,
     decode,
@@ -46,7 +45,6 @@
 )
 from egrethook.discovery.records import Changes, ItemKind, Snapshot
 from egrethook.discovery.replica import Replica
-from egrethook.emulator.builders import ManualClock
 from egrethook.exceptions import BadMessageError
 from egrethook.upstreams.health import HealthObservation
 from egrethook.wire.gossip import ttypes
@@ -54,11 +52,6 @@
 SILENT = HealthObservation(False, 0.045)
 
 
-def member(number, domain="zone-a", beat=1, incarnation=1, leaving=False):
-    address = Address(f"10.0.0.{number}", 7000)
-    return MemberInfo(address, domain, incarnation, beat, leaving)
-
-
 def make_members(number, seeds=()):
     return GossipMembers(member(number), seeds, random.Random(number))
 
@@ -119,75 +112,6 @@
     assert len(members.sample(0.1)) == 8
 
 
-class FakeNetwork:
-    """Delivers datagrams immediately, except to and from partitioned addresses."""
-
-    def __init__(self):
-        self.gossips = {}
-        self.partitioned = set()
-        self.queue = []
-        self.bytes_to = Counter()
-
-    def deliver(self):
-        while self.queue:
-            source, target, data = self.queue.pop(0)
-            self.bytes_to[target] += len(data)
-            if target in self.gossips and not {source, target} & self.partitioned:
-                self.gossips[target]._handle(data, source)
-
-
-class FakeSocket:
-    def __init__(self, network, address):
-        self.network, self.address = network, address
-
-    def send(self, target, data):
-        self.network.queue.append((self.address, target, data))
-
-
-class Fleet:
-    def __init__(self, size):
-        self.network, self.clock = FakeNetwork(), ManualClock()
-        self.replicas = []
-        self.reports = {}
-        for number in range(1, size + 1):
-            self.add(number)
-
-    def add(self, number, domain="zone-a"):
-        own = member(number, domain)
-        seeds = [Address("10.0.0.1", 7000), Address("10.0.0.2", 7000)]
-        members = GossipMembers(own, seeds, random.Random(number))
-        gossips = []
-        replica = Replica(
-            lambda items, previous_revision: gossips[0].propagate(
-                items, previous_revision
-            )
-        )
-        gossip = Gossip(
-            FakeSocket(self.network, own.address),
-            members,
-            replica,
-            self.clock,
-            random.Random(number),
-            None,
-            lambda token, observation: self.reports.setdefault(number, []).append(
-                (token, observation)
-            ),
-        )
-        gossips.append(gossip)
-        self.network.gossips[own.address] = gossip
-        self.replicas.append(replica)
-        return replica
-
-    def run_rounds(self, rounds=1):
-        for _ in range(rounds):
-            self.clock.advance(0.3)
-            now = self.clock.now()
-            for gossip in self.network.gossips.values():
-                gossip._members.next_heartbeat(False)
-                gossip._send(gossip._digest(now), gossip._members.gossip_targets(now))
-            self.network.deliver()
-
-
 def test_new_member_learns_members_from_answer_to_first_digest():
     """No other member sends to the new one, and the receiver has no newer revision.
 
