Let what an older copy of the registry lacks lapse, not count as removed

Cause: their records of the earlier era had higher revisions than what they wrote later. What remained: a whole state of the older copy removed upstreams that only had to register again, undid drains and evacuations of the lost seconds, and brought back records that had been removed.

Change: differences of a new era wait until they are written again, for 2.2 s from the begin of the era at most, if they are missing or if the upstream wrote them before what is held. Removed records wait for 4.5 s. Gossip carries the age of the era. Each record's number of writes is kept for the comparison.

--- a/egrethook/balancers/delta_parts.py
+++ b/egrethook/balancers/delta_parts.py
@@ -22,17 +22,21 @@
 """Number of senders whose parts are kept; the oldest are dropped."""
 
 
-def split_delta(changes: Changes, age_s: float) -> list[Delta]:
+def split_delta(
+    changes: Changes, age_s: float, era_age_s: float = float("inf")
+) -> list[Delta]:
     """Return the deltas that carry the changes, each of which fits a datagram.
 
     Parameters
     ----------
     age_s : float
         Time since the changes were known to be current, in seconds.
+    era_age_s : float
+        Time for which their era is known to have begun, in seconds.
     """
     groups = list(_groups(changes.items)) or [()]
     return [
-        Delta(changes._replace(items=group), age_s, part, len(groups))
+        Delta(changes._replace(items=group), age_s, part, len(groups), era_age_s)
         for part, group in enumerate(groups)
     ]
 
@@ -93,7 +97,7 @@
                 for item in part.changes.items
             ]
             whole = delta.changes._replace(items=items)
-            return Delta(whole, now - transfer.known_at)
+            return Delta(whole, now - transfer.known_at, era_age_s=delta.era_age_s)
         self._transfers[source] = transfer
         if len(self._transfers) > MAX_SENDERS:
             self._transfers.popitem(last=False)
--- a/egrethook/balancers/gossip.py
+++ b/egrethook/balancers/gossip.py
@@ -180,7 +180,8 @@
             # request it once instead of receiving it from several members.
             self._send(self._digest(now), self._members.push_targets(now))
             return
-        delta = Delta(changes, self._replica.age(now))
+        era_age_s = now - self._replica.era_seen_at
+        delta = Delta(changes, self._replica.age(now), era_age_s=era_age_s)
         self._send(delta, self._members.push_targets(now))
 
     def _changes_to_push(
@@ -261,7 +262,7 @@
         changes = whole.changes
         if changes.replaces and changes.version > self._replica.version:
             self._log_replacement(changes, source)
-        self._replica.apply_changes(changes, now - whole.age_s)
+        self._replica.apply_changes(changes, now - whole.age_s, now - whole.era_age_s)
         if self._replica.version < changes.version:
             self._request_changes(source, now)
 
@@ -286,7 +287,7 @@
             changes = catalog.whole_state()
         current = changes.revision == self._replica.revision
         age_s = self._replica.age(now) if current else float("inf")
-        for delta in split_delta(changes, age_s):
+        for delta in split_delta(changes, age_s, now - self._replica.era_seen_at):
             self._send(delta, [target])
 
     def _request_changes(self, target: Address, now: float) -> None:
--- a/egrethook/discovery/records.py
+++ b/egrethook/discovery/records.py
@@ -102,6 +102,8 @@
         Unix time of its start, in milliseconds; distinguishes incarnations.
     cold_left_s : float
         Remaining warm-up time when the record was written, in seconds.
+    writes : int
+        How often this incarnation had written its record before; 0 if unknown.
     """
 
     name: str
@@ -113,6 +115,7 @@
     slots: int
     started_ms: int
     cold_left_s: float
+    writes: int = 0
 
 
 class WeightedService(NamedTuple):
--- a/egrethook/discovery/replica.py
+++ b/egrethook/discovery/replica.py
@@ -36,6 +36,7 @@
         self._listener = listener
         self._confirmed_at = float("-inf")
         self._changed_after = float("-inf")
+        self._era_seen_at = float("inf")
 
     @property
     def catalog(self) -> Catalog:
@@ -65,6 +66,11 @@
         """
         return self._changed_after
 
+    @property
+    def era_seen_at(self) -> float:
+        """When the era is known to have been read first by any process, in seconds."""
+        return self._era_seen_at
+
     def mark_stale(self) -> None:
         """Treat the replica as of unknown age, as after a pause of the process."""
         self._confirmed_at = float("-inf")
@@ -72,33 +78,40 @@
     def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Merge a registry snapshot, or begin the later era that it shows."""
         previous = self.version
-        if snapshot.era < previous.era:
-            return
-        self._changed_after = self._confirmed_at
         if snapshot.era > previous.era:
-            changed = self._begin_era(snapshot)
-        else:
+            self._begin_era(snapshot, now, now)
+        elif snapshot.era == previous.era:
+            self._changed_after = self._confirmed_at
             changed = self._catalog.merge_snapshot(snapshot)
-        self._confirmed_at = max(self._confirmed_at, now)
-        self._notify(changed, previous)
-
-    def apply_changes(self, changes: Changes, known_at: float) -> None:
-        """Merge changes that were current at `known_at`.
-
-        A later era begins only with its whole state.
+            self._confirmed_at = max(self._confirmed_at, now)
+            self._notify(changed, previous)
+
+    def apply_changes(
+        self, changes: Changes, known_at: float, era_seen_at: float | None = None
+    ) -> None:
+        """Merge changes; a later era begins only with its whole state.
+
+        Parameters
+        ----------
+        known_at : float
+            When they were known to be current, in seconds.
+        era_seen_at : float, optional
+            When their era is known to have been read first, in seconds; `known_at` if
+            it is not given.
         """
         previous = self.version
+        if era_seen_at is None:
+            era_seen_at = known_at
         if changes.era > previous.era and changes.is_whole_state:
             state = Snapshot(changes.items, changes.revision, changes.era)
-            self.apply_snapshot(state, known_at)
-            return
-        if changes.era != previous.era:
-            return
-        self._changed_after = self._confirmed_at
-        changed = self._catalog.merge_changes(changes)
-        if changes.after <= previous.revision <= changes.revision:
-            self._confirmed_at = max(self._confirmed_at, known_at)
-        self._notify(changed, previous)
+            self._begin_era(state, known_at, era_seen_at)
+        elif changes.era == previous.era:
+            self._era_seen_at = min(self._era_seen_at, era_seen_at)
+            self._changed_after = self._confirmed_at
+            changed = self._catalog.merge_changes(changes)
+            if changes.after <= previous.revision <= changes.revision:
+                self._confirmed_at = max(self._confirmed_at, known_at)
+            self._notify(changed, previous)
 
     def confirm(self, version: StateVersion, known_at: float) -> None:
         """Record that a state was the newest one at `known_at`.
@@ -108,22 +121,23 @@
         if version == self.version:
             self._confirmed_at = max(self._confirmed_at, known_at)
 
-    def _begin_era(self, snapshot: Snapshot) -> list[PublishedItem]:
-        """Replace what is held of an earlier era; return the items that differ."""
-        earlier, self._catalog = self._catalog, Catalog(snapshot.era)
-        self._confirmed_at = float("-inf")
-        self._catalog.merge_snapshot(snapshot)
+    def _begin_era(self, state: Snapshot, known_at: float, era_seen_at: float) -> None:
+        """Replace what is held of an earlier era."""
+        earlier, self._catalog = self._catalog, Catalog(state.era)
+        self._changed_after, self._confirmed_at = self._confirmed_at, known_at
+        self._era_seen_at = era_seen_at
+        self._catalog.merge_snapshot(state)
         changed = self._catalog.difference_from(earlier)
         if earlier.revision:
             _LOG.info(
                 "the registry has begun a new era; its state replaces what is held.",
-                era=snapshot.era,
-                revision=snapshot.revision,
+                era=state.era,
+                revision=state.revision,
                 held_era=earlier.version.era,
                 held_revision=earlier.revision,
                 changed=len(changed),
             )
-        return changed
+        self._notify(changed, earlier.version)
 
     def _notify(self, changed: Sequence[PublishedItem], previous: StateVersion) -> None:
         if changed or self.version != previous:
--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any
 from zlib import crc32
 
 from egrethook.discovery.records import (
@@ -12,6 +13,12 @@
     Route,
     RouteTable,
 )
+from egrethook.discovery.rewrites import (
+    RETURNED_RECORD_HOLD_S,
+    REWRITE_TIME_S,
+    RecordAge,
+    RewriteWindow,
+)
 from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import DocumentError
 from egrethook.logs import PartLog
@@ -20,6 +27,9 @@
 
 _LOG = PartLog("view")
 
+_Handler = Callable[[Any, PublishedItem, float], None]
+"""Method of `ForwardingView` that applies an item of one kind at a time."""
+
 
 class ForwardingView:
     """Routes, upstreams and the failure domains that are out of service.
@@ -44,6 +54,7 @@
         self._updates = 0
         self._changed_after = float("-inf")
         self._logs_upstreams = False
+        self._rewrites = RewriteWindow()
         self._item_errors = ErrorBoundary(_LOG, "published item")
 
     @property
@@ -71,44 +82,108 @@
         """The failure domains that are out of service and get no new flows."""
         return frozenset(self._domains_out)
 
+    @property
+    def awaited_items(self) -> int:
+        """Number of items that the registry has lost and that may be written again."""
+        return len(self._rewrites)
+
     def update(
         self,
         items: Iterable[PublishedItem],
         now: float,
         changed_after: float | None = None,
+        era_began_at: float | None = None,
     ) -> None:
         """Apply changed items.
 
         An invalid route configuration is ignored; an upstream whose record is
-        invalid is removed.
+        invalid is removed. What a new era shows as it was before waits until it is
+        written again, or is not for some time.
 
         Parameters
         ----------
         changed_after : float, optional
             Time after which they changed at the registry, in seconds; just now if it
             is not given.
+        era_began_at : float, optional
+            If they are the differences of a new era: when it is known to have begun,
+            in seconds.
         """
         self._updates += 1
         self._changed_after = now if changed_after is None else changed_after
+        is_new_era = era_began_at is not None
+        if era_began_at is not None:
+            self._revision = 0
+            self._rewrites.open(era_began_at)
         for item in items:
             self._revision = max(self._revision, item.revision)
-            try:
-                self._HANDLERS[item.kind](self, item, now)
-            except DocumentError as error:
-                _LOG.alarm(
-                    "invalid published item; old routes stay, upstream removed.",
-                    kind=item.kind.name,
-                    item=item.name,
-                    revision=item.revision,
-                    error=str(error),
-                )
-            except Exception as error:
-                self._item_errors.note(
-                    error, kind=item.kind.name, item=item.name, revision=item.revision
-                )
+            hold_s = self._hold_time(item, is_new_era, now)
+            if hold_s:
+                self._hold(item, hold_s)
+                continue
+            self._rewrites.release(item)
+            self._apply(item, self._HANDLERS, now)
         if not self._logs_upstreams and len(self._upstreams):
             self._log_first_upstreams()
 
+    def apply_awaited(self, now: float) -> None:
+        """Apply what has been held back and was not written again in time."""
+        for item in self._rewrites.take_due(now):
+            self._updates += 1
+            _LOG.info("not written again; as in the registry.", **_label(item))
+            self._apply(item, self._AWAITED_HANDLERS, now)
+
+    def _apply(
+        self, item: PublishedItem, handlers: Mapping[ItemKind, _Handler], now: float
+    ) -> None:
+        try:
+            handlers[item.kind](self, item, now)
+        except DocumentError as error:
+            _LOG.alarm(
+                "invalid published item; old routes stay, upstream removed.",
+                error=str(error),
+                **_label(item),
+            )
+        except Exception as error:
+            self._item_errors.note(error, **_label(item))
+
+    def _hold(self, item: PublishedItem, hold_s: float) -> None:
+        _LOG.info(
+            "older in the registry than here; waiting for it to be written again.",
+            lapsed=item.value is None,
+            **_label(item),
+        )
+        self._rewrites.hold(item, hold_s)
+
+    def _hold_time(self, item: PublishedItem, is_new_era: bool, now: float) -> float:
+        """Return for how long an item waits from the begin of the era, in seconds.
+
+        A failure domain is taken out of service at once, and a configuration has a
+        version of its own. A removal waits only if it comes from the comparison of two
+        eras.
+        """
+        if not self._rewrites.is_open(now) or item.kind is ItemKind.ROUTES:
+            return 0.0
+        if item.value is None:
+            return REWRITE_TIME_S if is_new_era else 0.0
+        if item.kind is not ItemKind.UPSTREAM:
+            return 0.0
+        return self._record_hold_time(item.name, item.value)
+
+    def _record_hold_time(self, name: str, value: bytes) -> float:
+        """Return for how long a record waits that is older than the held one."""
+        known = self._upstreams.last_record(name)
+        if known is None:
+            return 0.0
+        try:
+            age = RecordAge.of(self._decoder.upstream(name, value))
+        except DocumentError:
+            return 0.0
+        is_removed = self._upstreams.get(name) is None
+        if is_removed and age <= RecordAge.of(known):
+            return RETURNED_RECORD_HOLD_S
+        return REWRITE_TIME_S if age < RecordAge.of(known) else 0.0
+
     def _log_first_upstreams(self) -> None:
         """Log how many upstreams there are; from now on each change is logged."""
         self._logs_upstreams = True
@@ -212,12 +287,29 @@
             in_service=item.value is None,
         )
 
-    _HANDLERS = {
+    def _apply_awaited_upstream(self, item: PublishedItem, now: float) -> None:
+        """Apply a record that was held back; one that lapsed has had its time."""
+        if item.value is None:
+            self._upstreams.remove_now(item.name, now)
+        else:
+            self._apply_upstream(item, now)
+
+    _HANDLERS: Mapping[ItemKind, _Handler] = {
         ItemKind.ROUTES: _apply_routes,
         ItemKind.UPSTREAM: _apply_upstream,
         ItemKind.DOMAIN_OUT: _apply_domain,
     }
 
+    _AWAITED_HANDLERS: Mapping[ItemKind, _Handler] = {
+        **_HANDLERS,
+        ItemKind.UPSTREAM: _apply_awaited_upstream,
+    }
+
+
+def _label(item: PublishedItem) -> dict[str, object]:
+    """Return the log fields that name an item."""
+    return {"kind": item.kind.name, "item": item.name, "revision": item.revision}
+
 
 def _seconds_since(time: float, now: float) -> float | None:
     """Return the time since an event in seconds, or None if it is unknown."""
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -366,6 +366,8 @@
         now = self._clock.now()
         with self._housekeeping_errors:
             self._view.upstreams.expire(now)
+        with self._housekeeping_errors:
+            self._view.apply_awaited(now)
         with self._housekeeping_errors:
             self._update_view_trust(now)
         with self._housekeeping_errors:
@@ -384,7 +386,10 @@
         self, items: Sequence[PublishedItem], previous: StateVersion
     ) -> None:
         now = self._clock.now()
-        self._view.update(items, now, self._replica.changed_after)
+        replica = self._replica
+        is_new_era = previous.revision and previous.era != replica.version.era
+        era_began_at = replica.era_seen_at if is_new_era else None
+        self._view.update(items, now, replica.changed_after, era_began_at)
         with self._listener_errors:
             self._update_view_trust(now)
         for listener in self._listeners:
--- a/egrethook/forwarding/metrics.py
+++ b/egrethook/forwarding/metrics.py
@@ -105,7 +105,13 @@
         subsets = forwarder.subsets
         ejected = sum(upstream.is_ejected(now) for upstream in upstreams)
         for name, text, value in (
+            ("registry_era", "Era of the revision held.", replica.version.era),
             ("registry_revision", "Revision held.", replica.revision),
+            (
+                "registry_awaited",
+                "Items that the registry has lost and that may be written again.",
+                forwarder.view.awaited_items,
+            ),
             ("registry_age_seconds", "Age of what is held.", replica.age(now)),
             ("configuration_version", "In force.", table.version if table else 0),
             ("upstreams", "Upstreams that are known.", len(upstreams)),
--- a/egrethook/platform/store_messages.py
+++ b/egrethook/platform/store_messages.py
@@ -91,9 +91,9 @@
 
     `concurrency` is its number of slots, `zone` its failure domain, `born` the
     Unix time of its process start in milliseconds, and `warmup_left_ms` how much
-    longer it was cold when it wrote the record. `version`, of its software, and
-    `sequence`, the number of its writes, are required but not used: a record without
-    them comes from another writer.
+    longer it was cold when it wrote the record. `sequence` counts the writes of this
+    incarnation. `version`, of its software, is required but not used: a record without
+    it comes from another writer.
     """
 
     service: str
@@ -218,6 +218,7 @@
             slots=entry.concurrency,
             started_ms=entry.born,
             cold_left_s=entry.warmup_left_ms / 1000.0,
+            writes=entry.sequence,
         )
 
     def routes(self, value: bytes) -> RouteTable:
--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -143,6 +143,21 @@
                 return
         self._drop(known, now)
 
+    def remove_now(self, name: str, now: float) -> None:
+        """Remove an upstream whose record has been awaited in vain."""
+        known = self._by_name.get(name)
+        if known is not None:
+            known.registration.absent_since = now
+            self._drop(known, now)
+
+    def last_record(self, name: str) -> UpstreamRecord | None:
+        """Return the newest record under a name, one that was removed included."""
+        known = self._by_name.get(name)
+        if known is not None:
+            return known.record
+        records = [one.record for one in self._gone.values() if one.name == name]
+        return max(records, key=lambda record: record.started_ms, default=None)
+
     def grace_left(self, name: str, now: float) -> float:
         """Return for how long an upstream is kept without a record, in seconds."""
         period = self._grace_periods.get(name)
--- a/tests/registry_harness.py
+++ b/tests/registry_harness.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import random
+from contextlib import contextmanager
 
 import anyio
 
+from egrethook.addresses import Address
+from egrethook.datagrams import DatagramSocket
 from egrethook.discovery.follower import RegistryFollower
 from egrethook.discovery.records import Changes, ItemKind, PublishedItem, Snapshot
+from egrethook.emulator.builders import ManualClock
 from egrethook.exceptions import HistoryLostError, SourceUnavailableError
+from egrethook.forwarding.forwarder import Forwarder
+from egrethook.forwarding.settings import ForwarderSettings
+from egrethook.platform.packet_header import PacketHeader
 
 ANSWER_S = 0.004
 """Time that a call takes, in seconds."""
@@ -41,6 +48,25 @@
     anyio.run(run, backend="trio", backend_options=options)
 
 
+@contextmanager
+def manual_forwarder(decoder, starts_at):
+    """Yield a forwarding process whose clock stands still until it is advanced."""
+    packets = DatagramSocket(Address("127.0.0.1", 0))
+    address = str(packets.address)
+    settings = ForwarderSettings(
+        name="vm-1",
+        failure_domain="zone-a",
+        packets=address,
+        peers=address,
+        probes=address,
+        registry=address,
+    )
+    with Forwarder(settings, PacketHeader(), decoder, packets) as forwarder:
+        forwarder._clock = ManualClock()
+        forwarder._clock.advance(starts_at - forwarder.clock.now())
+        yield forwarder
+
+
 class EraRegistry:
     """Holds items under one revision counter; it is its own client.
 
--- a/tests/test_gossip_eras.py
+++ b/tests/test_gossip_eras.py
@@ -148,6 +148,20 @@
     assert names(fleet.replicas[-1].catalog) == {"a", "b", "c", "again-0", "again-1"}
 
 
+def test_members_learn_when_the_era_began_and_not_when_they_hear_of_it():
+    """Guards against delays that add up from member to member."""
+    fleet, copy = fleet_before_a_return()
+    address = list(fleet.network.gossips)[-1]
+    fleet.network.partitioned.add(address)
+    fleet.come_back(copy, written_again=2)
+    began_at = fleet.clock.now()
+    fleet.run_rounds(5)
+    fleet.network.partitioned.clear()
+    fleet.run_rounds(2)
+    for replica in fleet.replicas:
+        assert replica.era_seen_at == pytest.approx(began_at, abs=0.01)
+
+
 def test_process_that_starts_after_a_return_gets_the_era_from_members():
     fleet, copy = fleet_before_a_return()
     fleet.come_back(copy, written_again=1)
--- a/tests/test_late_removal.py
+++ b/tests/test_late_removal.py
@@ -9,15 +9,10 @@
 
 import pytest
 from helpers import published_item as item
+from registry_harness import manual_forwarder
 
-from egrethook.addresses import Address
-from egrethook.datagrams import DatagramSocket
 from egrethook.discovery.records import Changes, Snapshot
-from egrethook.emulator.builders import ManualClock
 from egrethook.emulator.flow_records import InMemoryDecoder, upstream_record
-from egrethook.forwarding.forwarder import Forwarder
-from egrethook.forwarding.settings import ForwarderSettings
-from egrethook.platform.packet_header import PacketHeader
 
 DRAIN_BOUND_S = 3.0
 """Time after a removal in which openings may still reach the upstream, in seconds."""
@@ -26,20 +21,8 @@
 @contextmanager
 def forwarder_in_touch(confirmed_at):
     """A process whose copy holds an upstream and was last confirmed at a given time."""
-    packets = DatagramSocket(Address("127.0.0.1", 0))
-    address = str(packets.address)
-    settings = ForwarderSettings(
-        name="vm-1",
-        failure_domain="zone-a",
-        packets=address,
-        peers=address,
-        probes=address,
-        registry=address,
-    )
     decoder = InMemoryDecoder()
-    with Forwarder(settings, PacketHeader(), decoder, packets) as forwarder:
-        forwarder._clock = ManualClock()
-        forwarder._clock.advance(confirmed_at - forwarder.clock.now())
+    with manual_forwarder(decoder, confirmed_at) as forwarder:
         record = item("a", 1, decoder.encode(upstream_record("a", "zone-a")))
         forwarder.replica.apply_snapshot(Snapshot([record], 1), confirmed_at)
         yield forwarder
