--- a/egrethook/discovery/catalog.py
+++ b/egrethook/discovery/catalog.py
@@ -142,8 +142,15 @@
         return Changes(after, revision, newer[:count], era=self._era)
 
     def whole_state(self) -> Changes:
-        """Return all that is held, for a reader that holds nothing of this era."""
-        items = [item for item in self._items.values() if item.value is not None]
+        """Return all that is held, for a reader that holds nothing of this era.
+
+        Tombstones are left out, except those of removals after `revision`.
+        """
+        items = [
+            item
+            for item in self._items.values()
+            if item.value is not None or item.revision > self._revision
+        ]
         return Changes(0, self._revision, items, True, self._era)
 
     def _skip_to(self, revision: int) -> None:
