Let the store of a soak come back from a copy

Callers: nothing. The soak's store had no eras, and its upstreams wrote one number of writes for ever.

A new fault draws it: away for 1 s, copy 1 to 8 s old, lost items written again at once or 2 s late, then a configuration that each undisturbed VM must have in 3 s (CONFIG); drains, evacuations and flows are checked as beside other faults.

--- a/egrethook/emulator/soak/faults.py
+++ b/egrethook/emulator/soak/faults.py
@@ -11,7 +11,12 @@
 
 import anyio
 
-from egrethook.emulator.soak.fleet import SoakFleet, SoakVm, sample_vms
+from egrethook.emulator.soak.fleet import (
+    DISTURBANCE_GRACE_S,
+    SoakFleet,
+    SoakVm,
+    sample_vms,
+)
 from egrethook.emulator.soak.peers import PacketUpstream, Violation
 from egrethook.emulator.soak.proxy import ProxyMode
 from egrethook.emulator.soak.store import StoreEmulator
@@ -24,6 +29,19 @@
 EVACUATION_TIMEOUT_S = 5.0
 """Time after which an evacuated failure domain must get no openings, in seconds."""
 
+CONFIGURATION_TIMEOUT_S = 3.0
+"""Time after which a new configuration must be in force, in seconds."""
+
+COPY_AGE_RANGE_S = (1.0, 8.0)
+"""Age of a copy to which the store comes back, in seconds."""
+
+REWRITE_DELAY_MAX_S = 2.0
+"""Longest time after which lost items are written again, in seconds."""
+
+
+_STORE_RETURN = "store return"
+"""Marks in `SoakFaults` that the store is coming back from a copy."""
+
 
 @dataclass(frozen=True)
 class _Exclusion:
@@ -39,6 +57,7 @@
     store: StoreEmulator, upstream: PacketUpstream, state: str
 ) -> None:
     """Write the record of an upstream."""
+    upstream.record_writes += 1
     store.put(
         f"servers/{upstream.name}",
         {
@@ -49,7 +68,7 @@
             "concurrency": 2,
             "state": state,
             "warmupLeftMs": 0,
-            "sequence": 1,
+            "sequence": upstream.record_writes,
             "born": upstream.started_ms,
         },
     )
@@ -69,7 +88,7 @@
     upstreams : mapping of str to PacketUpstream
         The upstreams by name.
     publish_routes : callable
-        Writes a new version of the configuration.
+        Writes a new version of the configuration, and returns its number.
     """
 
     def __init__(
@@ -78,7 +97,7 @@
         fleet: SoakFleet,
         store: StoreEmulator,
         upstreams: Mapping[str, PacketUpstream],
-        publish_routes: Callable[[], None],
+        publish_routes: Callable[[], int],
     ) -> None:
         self._rng = rng
         self._fleet = fleet
@@ -86,7 +105,7 @@
         self._upstreams = upstreams
         self._publish_routes = publish_routes
         self._exclusions: list[_Exclusion] = []
-        # Names of draining upstreams and keys of evacuations that are in force.
+        # Names of draining upstreams, keys of evacuations and `_STORE_RETURN`.
         self._in_force: set[str] = set()
 
     @property
@@ -104,6 +123,7 @@
             ("proxies silent", lambda: self._disturb_some_proxies(ProxyMode.SILENT)),
             ("store unreachable", self._cut_off_store),
             ("store history lost", self._lose_store_history),
+            ("store from a copy", self._return_store_to_copy),
             ("configuration", self._change_configuration),
             ("upstream draining", self._drain_upstream),
             ("upstream unresponsive", self._silence_upstream),
@@ -167,6 +187,46 @@
     async def _lose_store_history(self) -> None:
         self._store.clear_history()
 
+    async def _return_store_to_copy(self) -> None:
+        """Let the store be away and come back from an older copy.
+
+        What it has lost is written again; a configuration follows, which all VMs must
+        then have in time.
+        """
+        if _STORE_RETURN in self._in_force:
+            return
+        self._in_force.add(_STORE_RETURN)
+        copy = self._store.copy()
+        await anyio.sleep(self._rng.uniform(*COPY_AGE_RANGE_S))
+        await self._set_all_proxies(ProxyMode.RESET)
+        await anyio.sleep(1.0)
+        self._store.come_back(copy)
+        await self._set_all_proxies(ProxyMode.PASS)
+        await anyio.sleep(self._rng.choice((0.0, 1.0)) * REWRITE_DELAY_MAX_S)
+        self._write_lost_items()
+        await anyio.sleep(DISTURBANCE_GRACE_S)
+        version = self._publish_routes()
+        await anyio.sleep(CONFIGURATION_TIMEOUT_S)
+        await self._fleet.check_configuration(version)
+        self._in_force.remove(_STORE_RETURN)
+
+    async def _set_all_proxies(self, mode: ProxyMode) -> None:
+        for vm in self._fleet.vms:
+            await vm.proxy.set_mode(mode)
+            vm.mark_disturbed()
+
+    def _write_lost_items(self) -> None:
+        """Write what the store has lost, as operators and upstreams do."""
+        for key in self._store.lost_keys():
+            written = self._store.written(key)
+            name = key.removeprefix("servers/")
+            if name in self._upstreams:
+                register_upstream(self._store, self._upstreams[name], written["state"])
+            elif written is None:
+                self._store.delete(key)
+            else:
+                self._store.put(key, written)
+
     async def _change_configuration(self) -> None:
         self._publish_routes()
 
--- a/egrethook/emulator/soak/fleet.py
+++ b/egrethook/emulator/soak/fleet.py
@@ -4,6 +4,7 @@
 
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -32,6 +33,13 @@
 PROBE_TIMEOUT_S = 0.4
 """Timeout of a readiness probe, in seconds."""
 
+METRICS_TIMEOUT_S = 3.0
+"""Timeout of a read of the metrics, in seconds."""
+
+_CONFIGURATION_METRIC = re.compile(
+    r"^egrethook_configuration_version ([0-9.e+]+)$", re.MULTILINE
+)
+
 PROBE_FAILURE_THRESHOLD = 2
 """Number of consecutive failed probes that takes a VM out of rotation."""
 
@@ -146,6 +154,28 @@
         with anyio.CancelScope(shield=True):
             await self._client.aclose()
 
+    async def check_configuration(self, version: int) -> None:
+        """Note a violation for each undisturbed VM that lacks a configuration."""
+        for vm in self._vms:
+            if vm.expected_down or not vm.undisturbed_since(time.monotonic()):
+                continue
+            held = await self._held_configuration(vm)
+            if held is not None and held < version:
+                what = f"{vm.name} has configuration {held} instead of {version}"
+                self._violations.append(
+                    Violation(time.monotonic(), "configuration", what)
+                )
+
+    async def _held_configuration(self, vm: SoakVm) -> int | None:
+        """Return the version that a VM has in force; None if it doesn't answer."""
+        url = f"http://{vm.host}:{vm.port + METRICS_OFFSET}/metrics"
+        try:
+            text = (await self._client.get(url, timeout=METRICS_TIMEOUT_S)).text
+        except PROBE_ERRORS:
+            return None
+        found = _CONFIGURATION_METRIC.search(text)
+        return int(float(found[1])) if found else None
+
     # Processes ---------------------------------------------------------------------
 
     def write_settings(self, vm: SoakVm, **changes: object) -> Path:
--- a/egrethook/emulator/soak/peers.py
+++ b/egrethook/emulator/soak/peers.py
@@ -89,6 +89,8 @@
     ----------
     openings : list of tuple of float and str
         Time of each opening, and host of the VM that forwarded it.
+    record_writes : int
+        Number of times that its record has been written.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         self._responsive_since = float("-inf")
         self._dropped_hosts: frozenset[str] = frozenset()
         self.openings: list[tuple[float, str]] = []
+        self.record_writes = 0
         self._caller_port = caller_port
         self._violations = violations
         self._flows: set[tuple[int, ...]] = set()
--- a/egrethook/emulator/soak/run.py
+++ b/egrethook/emulator/soak/run.py
@@ -218,7 +218,8 @@
         host = host_number("198.18.0.1")
         return {service: (host, 8_000 + n) for n, service in enumerate(SERVICES)}
 
-    def _publish_routes(self) -> None:
+    def _publish_routes(self) -> int:
+        """Write a new version of the configuration; return its number."""
         self._configuration_version += self._rng.randrange(1, 4)
         routes = [
             {
@@ -240,6 +241,7 @@
             "services": services,
         }
         self._store.put("op/config", config)
+        return self._configuration_version
 
     def _add_upstream(self, tasks: TaskGroup, number: int) -> None:
         name = f"i-{self._rng.getrandbits(40):010x}"
