Keep what two modules knew of answers and of lapsed records once

Callers: nothing; behaviour is unchanged.

When an upstream of a domain last answered stood in PassiveHealth and in ReachEvidence, set at the same place; the type of the age of gossip stood twice; a grace period repeated since when the record is absent. Each stands once now. The decision how long a record of a new era waits moved from the view to rewrites.py, as a function of records.

--- a/egrethook/discovery/rewrites.py
+++ b/egrethook/discovery/rewrites.py
@@ -22,16 +22,27 @@
 """
 
 
-class RecordAge(NamedTuple):
-    """Orders the records that an upstream has written under one name."""
-
-    started_ms: int
-    writes: int
-
-    @classmethod
-    def of(cls, record: UpstreamRecord) -> RecordAge:
-        """Return the age of a record."""
-        return cls(record.started_ms, record.writes)
+def record_hold_time(
+    record: UpstreamRecord, known: UpstreamRecord, is_removed: bool
+) -> float:
+    """Return how long a record in a new era waits, in seconds; 0 if it doesn't.
+
+    Parameters
+    ----------
+    known : UpstreamRecord
+        The newest record that is known of the upstream.
+    is_removed : bool
+        Whether that record has been removed.
+    """
+    order, known_order = _write_order(record), _write_order(known)
+    if is_removed:
+        return RETURNED_RECORD_HOLD_S if order <= known_order else 0.0
+    return REWRITE_TIME_S if order < known_order else 0.0
+
+
+def _write_order(record: UpstreamRecord) -> tuple[int, int]:
+    """Return what orders the records that upstreams have written under one name."""
+    return record.started_ms, record.writes
 
 
 class _HeldItem(NamedTuple):
--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -14,10 +14,9 @@
     RouteTable,
 )
 from egrethook.discovery.rewrites import (
-    RETURNED_RECORD_HOLD_S,
     REWRITE_TIME_S,
-    RecordAge,
     RewriteWindow,
+    record_hold_time,
 )
 from egrethook.error_boundary import ErrorBoundary
 from egrethook.exceptions import DocumentError
@@ -171,18 +170,16 @@
         return self._record_hold_time(item.name, item.value)
 
     def _record_hold_time(self, name: str, value: bytes) -> float:
-        """Return for how long a record waits that is older than the held one."""
+        """Return for how long a record waits; an invalid one doesn't."""
         known = self._upstreams.last_record(name)
         if known is None:
             return 0.0
         try:
-            age = RecordAge.of(self._decoder.upstream(name, value))
+            record = self._decoder.upstream(name, value)
         except DocumentError:
             return 0.0
         is_removed = self._upstreams.get(name) is None
-        if is_removed and age <= RecordAge.of(known):
-            return RETURNED_RECORD_HOLD_S
-        return REWRITE_TIME_S if age < RecordAge.of(known) else 0.0
+        return record_hold_time(record, known, is_removed)
 
     def _log_first_upstreams(self) -> None:
         """Log how many upstreams there are; from now on each change is logged."""
--- a/egrethook/forwarding/forwarder.py
+++ b/egrethook/forwarding/forwarder.py
@@ -30,8 +30,8 @@
 from egrethook.logs import PartLog
 from egrethook.upstreams.cold_limit import FleetColdLimit
 from egrethook.upstreams.flow_limit import AimdFlowLimit
-from egrethook.upstreams.health import GossipAge, HealthListener, HealthObservation
-from egrethook.upstreams.reach_evidence import ReachEvidence
+from egrethook.upstreams.health import HealthListener, HealthObservation
+from egrethook.upstreams.reach_evidence import ContactAge, ReachEvidence
 from egrethook.upstreams.reachability import HeardDomains, Reachability
 
 if TYPE_CHECKING:
@@ -297,7 +297,7 @@
         """Set what returns the failure domains whose balancers are heard."""
         self._heard_domains = heard_domains
 
-    def set_gossip_age(self, gossip_age: GossipAge) -> None:
+    def set_gossip_age(self, gossip_age: ContactAge) -> None:
         """Set what tells how long ago gossip came from a failure domain."""
         self._health.set_gossip_age(gossip_age)
 
--- a/egrethook/upstreams/health.py
+++ b/egrethook/upstreams/health.py
@@ -12,7 +12,7 @@
 from zlib import crc32
 
 from egrethook.logs import PartLog
-from egrethook.upstreams.reach_evidence import ReachEvidence
+from egrethook.upstreams.reach_evidence import ContactAge, ReachEvidence
 from egrethook.upstreams.reset_cause import (
     MIN_UNANSWERED_OPENINGS,
     DomainContact,
@@ -83,12 +83,6 @@
         ...
 
 
-GossipAge = Callable[[str], float | None]
-"""Returns the time since gossip came from a failure domain, in seconds.
-
-It is None if that tells nothing about a cut of the domain.
-"""
-
 RegistryAge = Callable[[], float]
 """Returns the time since the copy of the registry was confirmed, in seconds."""
 
@@ -123,11 +117,9 @@
         self._domain_answered_at: dict[str, float] = {}
         self._domain_unanswered_at: dict[str, float] = {}
         self._started_at = float("-inf")
-        self._last_heard_at = float("-inf")
-        self._domain_heard_at: dict[str, float] = {}
         self._unanswered_openings: dict[str, deque[tuple[int, float]]] = {}
         self._registry_age: RegistryAge = _just_confirmed
-        self._gossip_age: GossipAge = _no_gossip
+        self._gossip_age: ContactAge = _no_gossip
         self._reach_evidence = ReachEvidence()
 
     @property
@@ -139,7 +131,7 @@
         """Set the receiver of this balancer's observations."""
         self._listener = listener
 
-    def set_gossip_age(self, gossip_age: GossipAge) -> None:
+    def set_gossip_age(self, gossip_age: ContactAge) -> None:
         """Set what tells how long ago gossip came from a failure domain."""
         self._gossip_age = gossip_age
 
@@ -207,8 +199,6 @@
 
     def _note_sign_of_life(self, upstream: Upstream, now: float) -> None:
         upstream.alive_at = upstream.registration.alive_at = now
-        self._last_heard_at = now
-        self._domain_heard_at[upstream.domain] = now
         self._reach_evidence.note_answer(upstream.domain, now)
 
     def note_stalled_request(
@@ -243,8 +233,8 @@
         domain = upstream.domain
         contact = DomainContact(
             self._gossip_age(domain),
-            self._domain_heard_at.get(domain, float("-inf")),
-            self._last_heard_at,
+            self._reach_evidence.last_answer(domain),
+            self._reach_evidence.last_answer_of_any,
             [sent_at for _, sent_at in self._unanswered_openings.get(domain, ())],
             self._registry_age(),
         )
--- a/egrethook/upstreams/reach_evidence.py
+++ b/egrethook/upstreams/reach_evidence.py
@@ -79,7 +79,8 @@
 ContactAge = Callable[[str], float | None]
 """Returns the time since a datagram came from a failure domain, in seconds.
 
-It is None for a failure domain without known balancers.
+It is None if that tells nothing: of a failure domain without known balancers, or while
+this balancer may be the one that is cut off.
 """
 
 
@@ -91,6 +92,15 @@
         self._unanswered: deque[_Unanswered] = deque(maxlen=MAX_SPANS)
         self._latest: dict[str, _Unanswered] = {}
 
+    @property
+    def last_answer_of_any(self) -> float:
+        """When an upstream of any failure domain last answered, in seconds."""
+        return max(self._answered_at.values(), default=float("-inf"))
+
+    def last_answer(self, domain: str) -> float:
+        """Return when an upstream of a failure domain last answered, in seconds."""
+        return self._answered_at.get(domain, float("-inf"))
+
     def note_answer(self, domain: str, now: float) -> None:
         """Record an answer from an upstream of a failure domain."""
         self._answered_at[domain] = now
@@ -99,7 +109,7 @@
         """Record an opening that an upstream of a failure domain left unanswered."""
         span = self._latest.get(domain)
         # Openings from before an answer stay apart from those after it.
-        earliest = max(sent_at - SPAN_S, self._last_answer(domain))
+        earliest = max(sent_at - SPAN_S, self.last_answer(domain))
         if span is not None and earliest < span.sent_at <= sent_at:
             span.noted_at = now
             span.count += 1
@@ -107,9 +117,6 @@
         span = self._latest[domain] = _Unanswered(domain, sent_at, now)
         self._unanswered.append(span)
 
-    def _last_answer(self, domain: str) -> float:
-        return self._answered_at.get(domain, float("-inf"))
-
     def forget_unanswered(self) -> None:
         """Start afresh: packets were queued here, or the domain returns."""
         self._unanswered.clear()
@@ -121,7 +128,7 @@
         for span in reversed(self._unanswered):
             if now - span.noted_at > UNANSWERED_FRESH_S:
                 return False
-            if span.sent_at <= self._last_answer(span.domain):
+            if span.sent_at <= self.last_answer(span.domain):
                 return False
             count += span.count
             if count >= MIN_UNANSWERED:
@@ -143,7 +150,7 @@
             The current time, in seconds.
         """
         answered_at = max(
-            (self._last_answer(domain) for domain in wanted), default=float("-inf")
+            (self.last_answer(domain) for domain in wanted), default=float("-inf")
         )
         since_answer = [
             entry
--- a/egrethook/upstreams/roster.py
+++ b/egrethook/upstreams/roster.py
@@ -4,7 +4,6 @@
 
 from collections import defaultdict
 from collections.abc import Collection, Mapping
-from typing import NamedTuple
 from weakref import WeakValueDictionary
 
 from egrethook.discovery.records import UpstreamPhase, UpstreamRecord
@@ -28,18 +27,17 @@
 """Age of the last answer up to which an upstream counts as alive, in seconds."""
 
 
-class GracePeriod(NamedTuple):
-    """Time for which an upstream without a record is kept, in seconds."""
+def _grace_end(now: float, removed_after: float) -> float:
+    """Return until when an upstream is kept whose record was removed, in seconds.
 
-    began_at: float
-    ends_at: float
-
-    @classmethod
-    def begin(cls, now: float, removed_after: float) -> GracePeriod:
-        """Return the grace period of a record that was removed after a given time."""
-        may_have_expired = now - removed_after >= MIN_OUTAGE_FOR_EXPIRY_S
-        counted_from = now if may_have_expired else removed_after
-        return cls(now, counted_from + EXPIRED_RECORD_GRACE_S)
+    Parameters
+    ----------
+    removed_after : float
+        When the registry was last known to hold the record, in seconds.
+    """
+    may_have_expired = now - removed_after >= MIN_OUTAGE_FOR_EXPIRY_S
+    counted_from = now if may_have_expired else removed_after
+    return counted_from + EXPIRED_RECORD_GRACE_S
 
 
 class UpstreamIndex:
@@ -60,7 +58,8 @@
         self._by_token: dict[int, Upstream] = {}
         self._by_service: defaultdict[str, dict[str, Upstream]] = defaultdict(dict)
         self._version = 0
-        self._grace_periods: dict[str, GracePeriod] = {}
+        # When the grace periods of upstreams without a record end, by name.
+        self._grace_ends: dict[str, float] = {}
         self._gone: dict[int, Upstream] = {}
         self._registrations: WeakValueDictionary[str, Registration] = (
             WeakValueDictionary()
@@ -97,7 +96,7 @@
 
     def put(self, record: UpstreamRecord, now: float) -> Upstream:
         """Add or update an upstream; the record may describe a new incarnation."""
-        self._grace_periods.pop(record.name, None)
+        self._grace_ends.pop(record.name, None)
         self._version += 1
         registration = self._registrations.setdefault(record.name, Registration())
         registration.absent_since = None
@@ -130,16 +129,14 @@
             have been an outage that has just ended.
         """
         known = self._by_name.get(name)
-        if known is None or name in self._grace_periods:
+        if known is None or name in self._grace_ends:
             return
         known.registration.absent_since = now
         was_ready = known.record.phase is UpstreamPhase.READY
         if was_ready and now - known.answered_at < RECENT_ANSWER_S:
-            period = GracePeriod.begin(
-                now, now if removed_after is None else removed_after
-            )
-            if now < period.ends_at:
-                self._grace_periods[name] = period
+            ends_at = _grace_end(now, now if removed_after is None else removed_after)
+            if now < ends_at:
+                self._grace_ends[name] = ends_at
                 return
         self._drop(known, now)
 
@@ -147,7 +144,6 @@
         """Remove an upstream whose record has been awaited in vain."""
         known = self._by_name.get(name)
         if known is not None:
-            known.registration.absent_since = now
             self._drop(known, now)
 
     def last_record(self, name: str) -> UpstreamRecord | None:
@@ -160,14 +156,14 @@
 
     def grace_left(self, name: str, now: float) -> float:
         """Return for how long an upstream is kept without a record, in seconds."""
-        period = self._grace_periods.get(name)
-        return round(period.ends_at - now, 3) if period else 0.0
+        ends_at = self._grace_ends.get(name)
+        return 0.0 if ends_at is None else round(ends_at - now, 3)
 
     def expire(self, now: float) -> None:
         """Drop upstreams whose grace period is over, and tokens after `flow_life_s`."""
-        for name, period in list(self._grace_periods.items()):
-            if now >= period.ends_at:
-                self._drop(self._by_name[name], period.began_at)
+        for name, ends_at in list(self._grace_ends.items()):
+            if now >= ends_at:
+                self._drop(self._by_name[name], now)
         for token, upstream in list(self._gone.items()):
             gone_at = upstream.gone_at
             if gone_at is None or now - gone_at < self._flow_life_s:
@@ -177,12 +173,15 @@
                 del self._by_token[token]
                 self._pass_on_token(token)
 
-    def _drop(self, upstream: Upstream, removed_at: float) -> None:
-        """Remove an upstream whose record was removed at `removed_at`."""
+    def _drop(self, upstream: Upstream, now: float) -> None:
+        """Remove an upstream without a record; it is gone since that is absent."""
+        registration = upstream.registration
+        if registration.absent_since is None:
+            registration.absent_since = now
         del self._by_name[upstream.name]
-        self._grace_periods.pop(upstream.name, None)
+        self._grace_ends.pop(upstream.name, None)
         self._remove_from_service(upstream)
-        self._retire(upstream, removed_at)
+        self._retire(upstream, registration.absent_since)
 
     def _retire(self, upstream: Upstream, now: float) -> None:
         self._version += 1
