--- a/egrethook/balancers/delta_parts.py
+++ b/egrethook/balancers/delta_parts.py
@@ -32,7 +32,7 @@
     age_s : float
         Time since the changes were known to be current, in seconds.
     era_age_s : float
-        Time for which their era is known to have begun, in seconds.
+        Time since any balancer is known to have read their era first, in seconds.
     """
     groups = list(_groups(changes.items)) or [()]
     return [
--- a/egrethook/balancers/gossip_codec.py
+++ b/egrethook/balancers/gossip_codec.py
@@ -127,7 +127,8 @@
     part, parts : int
         Number of this part, from 0, and of all parts.
     era_age_s : float
-        Time for which the registry's era is known to have begun, in seconds.
+        Time since any balancer is known to have read the registry's era first, in
+        seconds.
     """
 
     changes: Changes
--- a/egrethook/discovery/rewrites.py
+++ b/egrethook/discovery/rewrites.py
@@ -13,10 +13,10 @@
 from egrethook.upstreams.roster import EXPIRED_RECORD_GRACE_S
 
 REWRITE_TIME_S = EXPIRED_RECORD_GRACE_S
-"""Time after the begin of an era in which lost items are written again, in seconds."""
+"""Time after the start of an era in which lost items are written again, in seconds."""
 
 RETURNED_RECORD_HOLD_S = 4.5
-"""Time after the begin of an era for which removed records stay removed, in seconds.
+"""Time after the start of an era for which removed records stay removed, in seconds.
 
 If nobody writes such a record, the registry drops it after three heartbeats of 1.2 s.
 """
@@ -51,7 +51,7 @@
 
 
 class RewriteWindow:
-    """The time after the begin of an era, and the items that wait for its end."""
+    """The time after the start of an era, and the items that wait for its end."""
 
     def __init__(self) -> None:
         self._began_at = float("-inf")
@@ -71,7 +71,7 @@
         return now < self._began_at + REWRITE_TIME_S
 
     def hold(self, item: PublishedItem, hold_s: float = REWRITE_TIME_S) -> None:
-        """Hold an item back until some time after the begin of the era, in seconds."""
+        """Hold an item back until some time after the start of the era, in seconds."""
         until = self._began_at + max(hold_s, REWRITE_TIME_S)
         self._held[item.kind, item.name] = _HeldItem(item, until)
 
--- a/egrethook/discovery/view.py
+++ b/egrethook/discovery/view.py
@@ -155,7 +155,7 @@
         self._rewrites.hold(item, hold_s)
 
     def _hold_time(self, item: PublishedItem, is_new_era: bool, now: float) -> float:
-        """Return for how long an item waits from the begin of the era, in seconds.
+        """Return for how long an item waits from the start of the era, in seconds.
 
         A failure domain is taken out of service at once, and a configuration has a
         version of its own. A removal waits only if it comes from the comparison of two
